Add the design page, build, checks and the session and job modules

Cause: the project starts; every later part needs fixed types, one build and one verdict.

Ruled out: a home-made reference count and list (Boost.Intrusive serves), a mutex around the configuration on the request path (liburcu serves), Meson (CMake packages of Qt and Cap'n Proto exist).

--- /dev/null
+++ b/src/jayrill/base/clock.cc
@@ -0,0 +1,25 @@
+#include "jayrill/base/clock.h"
+
+#include <cassert>
+
+namespace jayrill {
+
+steady_time system_clock::Now() const {
+  return std::chrono::steady_clock::now();
+}
+
+wall_time system_clock::WallNow() const {
+  return std::chrono::time_point_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now());
+}
+
+manual_clock::manual_clock()
+    : now_(std::chrono::hours(1)), wall_now_(std::chrono::hours(24 * 365)) {}
+
+void manual_clock::Advance(steady_duration step) {
+  assert(step >= steady_duration::zero() && "time does not move backwards");
+  now_ += step;
+  wall_now_ += std::chrono::duration_cast<std::chrono::milliseconds>(step);
+}
+
+}  // namespace jayrill
--- /dev/null
+++ b/src/jayrill/base/hash.h
@@ -0,0 +1,15 @@
+#ifndef JAYRILL_BASE_HASH_H_
+#define JAYRILL_BASE_HASH_H_
+
+#include <cstdint>
+#include <string_view>
+
+namespace jayrill {
+
+/// \returns the 64-bit xxHash of \p bytes; the same on every machine, so it
+/// may decide where a key is stored.
+std::uint64_t StableHash(std::string_view bytes, std::uint64_t seed = 0);
+
+}  // namespace jayrill
+
+#endif  // JAYRILL_BASE_HASH_H_
--- /dev/null
+++ b/src/jayrill/base/snapshot.h
@@ -0,0 +1,78 @@
+#ifndef JAYRILL_BASE_SNAPSHOT_H_
+#define JAYRILL_BASE_SNAPSHOT_H_
+
+#include <urcu/urcu-memb.h>
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <utility>
+
+namespace jayrill {
+
+/// Registers the current thread as a reader of snapshots for its lifetime.
+///
+/// Each thread that calls snapshot::Read needs one.
+class snapshot_reader_thread {
+ public:
+  snapshot_reader_thread() { urcu_memb_register_thread(); }
+  ~snapshot_reader_thread() { urcu_memb_unregister_thread(); }
+  snapshot_reader_thread(const snapshot_reader_thread&) = delete;
+  snapshot_reader_thread& operator=(const snapshot_reader_thread&) = delete;
+};
+
+/// A value that many threads read without locks and that is replaced as a
+/// whole (read-copy-update).
+///
+/// A reader works on the value inside the function that it passes to Read and
+/// must not block in it: Publish waits for all readers before it frees the
+/// previous value. A thread must not call Publish from inside Read.
+template <typename T>
+class snapshot {
+ public:
+  explicit snapshot(T initial)
+      : current_(std::make_unique<const T>(std::move(initial)).release()) {}
+  ~snapshot() { delete current_.load(std::memory_order_acquire); }
+  snapshot(const snapshot&) = delete;
+  snapshot& operator=(const snapshot&) = delete;
+
+  /// Calls \p function with the current value.
+  /// \returns what \p function returns.
+  template <typename Function>
+  auto Read(Function&& function) const {
+    read_section section;
+    return std::forward<Function>(function)(
+        *current_.load(std::memory_order_acquire));
+  }
+
+  /// \returns a copy of the current value.
+  T Copy() const {
+    return Read([](const T& value) { return value; });
+  }
+
+  /// Replaces the value. Blocks until no reader holds the previous one.
+  void Publish(T next) {
+    const std::lock_guard<std::mutex> lock(writer_);
+    const T* const previous =
+        current_.exchange(std::make_unique<const T>(std::move(next)).release(),
+                          std::memory_order_acq_rel);
+    urcu_memb_synchronize_rcu();
+    delete previous;
+  }
+
+ private:
+  class read_section {
+   public:
+    read_section() { urcu_memb_read_lock(); }
+    ~read_section() { urcu_memb_read_unlock(); }
+    read_section(const read_section&) = delete;
+    read_section& operator=(const read_section&) = delete;
+  };
+
+  std::atomic<const T*> current_;
+  std::mutex writer_;
+};
+
+}  // namespace jayrill
+
+#endif  // JAYRILL_BASE_SNAPSHOT_H_
--- /dev/null
+++ b/src/jayrill/config/cluster_config.h
@@ -0,0 +1,104 @@
+#ifndef JAYRILL_CONFIG_CLUSTER_CONFIG_H_
+#define JAYRILL_CONFIG_CLUSTER_CONFIG_H_
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "jayrill/base/clock.h"
+#include "jayrill/base/ids.h"
+
+namespace jayrill {
+
+/// Limits that a profile sets; 0 means no limit.
+struct profile_limits {
+  std::uint32_t max_tasks = 0;    ///< Per job.
+  std::uint32_t max_running = 0;  ///< Running tasks of the profile, per entry.
+  std::chrono::milliseconds max_deadline{};
+
+  auto operator<=>(const profile_limits&) const = default;
+};
+
+/// Where the tasks of a profile may run.
+struct profile_placement {
+  std::set<std::string> data_centres;  ///< Empty: all.
+  std::uint32_t min_cores = 0;
+  std::uint32_t min_memory_mb = 0;
+  std::uint32_t min_accelerators = 0;
+
+  auto operator<=>(const profile_placement&) const = default;
+};
+
+/// A named profile of the operators.
+struct profile {
+  std::uint32_t urgency = 50;  ///< 0 to 100; higher goes first.
+  profile_limits limits;
+  profile_placement placement;
+  config_revision changed;  ///< Revision of its last change.
+
+  auto operator<=>(const profile&) const = default;
+};
+
+/// The profile that a service runs under.
+struct service_binding {
+  std::string profile;
+  config_revision changed;
+
+  auto operator<=>(const service_binding&) const = default;
+};
+
+/// The quota of a team; 0 means no limit.
+struct team_quota {
+  std::uint32_t max_running = 0;  ///< Running tasks, over all entries.
+  config_revision changed;
+
+  auto operator<=>(const team_quota&) const = default;
+};
+
+/// Whether a data centre is in service.
+struct data_centre_state {
+  bool out = false;
+  config_revision changed;
+
+  auto operator<=>(const data_centre_state&) const = default;
+};
+
+/// One record of the audit trail.
+struct audit_record {
+  config_revision revision;
+  wall_time when;
+  std::string operator_name;
+  std::string reason;
+  std::string item;    ///< For example `profile/urgent`.
+  std::string before;  ///< JSON; empty when the item was absent.
+  std::string after;   ///< JSON; empty when the item was removed.
+
+  auto operator<=>(const audit_record&) const = default;
+};
+
+/// The whole configuration at one revision.
+struct cluster_config {
+  config_revision revision;
+  std::map<std::string, profile, std::less<>> profiles;
+  std::map<std::string, service_binding, std::less<>> services;
+  std::map<std::string, team_quota, std::less<>> teams;
+  std::map<std::string, data_centre_state, std::less<>> data_centres;
+  std::vector<audit_record> audit;  ///< Oldest first; bounded.
+
+  auto operator<=>(const cluster_config&) const = default;
+
+  /// \returns true when operators have taken \p data_centre out.
+  bool IsOut(std::string_view data_centre) const;
+
+  /// \returns the profile that \p service runs under; the built-in default
+  /// profile when none is set.
+  const profile& ProfileOf(std::string_view service) const;
+};
+
+}  // namespace jayrill
+
+#endif  // JAYRILL_CONFIG_CLUSTER_CONFIG_H_
--- /dev/null
+++ b/src/jayrill/entry/dispatch_port.h
@@ -0,0 +1,97 @@
+#ifndef JAYRILL_ENTRY_DISPATCH_PORT_H_
+#define JAYRILL_ENTRY_DISPATCH_PORT_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "jayrill/base/clock.h"
+#include "jayrill/base/ids.h"
+#include "jayrill/config/cluster_config.h"
+#include "jayrill/job/job_outcome.h"
+#include "jayrill/job/job_spec.h"
+#include "jayrill/job/task_result.h"
+
+namespace jayrill {
+
+/// A configuration that several threads share.
+using shared_config = std::shared_ptr<const cluster_config>;
+
+/// What the dispatcher knows of one agent; for status and membership.
+struct agent_info {
+  std::string id;
+  std::string data_centre;
+  std::string worker;
+  std::string rack;
+  bool connected = false;
+  std::chrono::milliseconds silent_for{};
+  minion_status status;
+  std::uint32_t outstanding = 0;  ///< Starts of this entry.
+
+  auto operator<=>(const agent_info&) const = default;
+};
+
+/// State of the dispatcher at one moment.
+struct dispatch_status {
+  config_revision revision;  ///< In force at this entry.
+  bool isolated = false;
+  bool draining = false;
+  std::uint64_t jobs = 0;           ///< Admitted and not decided.
+  std::uint64_t waiting_tasks = 0;  ///< In the entry's queue.
+  std::uint64_t outstanding = 0;    ///< Sent to agents.
+  std::map<std::string, std::uint32_t> team_demand;  ///< Waiting and sent.
+  std::vector<agent_info> agents;
+
+  auto operator<=>(const dispatch_status&) const = default;
+};
+
+/// Hand-over between the HTTP thread and the dispatcher thread of an entry.
+///
+/// All functions may be called from any thread and return at once. Callbacks
+/// run on the dispatcher thread; a caller that lives on another thread posts
+/// them on.
+class dispatch_port {
+ public:
+  using outcome_callback = std::function<void(job_outcome)>;
+
+  virtual ~dispatch_port() = default;
+
+  /// Runs \p spec. \p done is called exactly once, by the deadline of the job
+  /// at the latest. Every refusal comes through it as a job_failure.
+  virtual void Submit(job_id id, job_spec spec, outcome_callback done) = 0;
+
+  /// The caller has gone away: withdraws the waiting tasks of \p id. \p done
+  /// of Submit is still called.
+  virtual void Cancel(job_id id) = 0;
+
+  /// Offers a configuration; ignored unless it is newer. It is pushed to every
+  /// agent.
+  virtual void OfferConfig(shared_config config) = 0;
+
+  /// The store has confirmed the configuration as current just now.
+  virtual void ConfirmConfig() = 0;
+
+  /// Sets the RPC addresses of all live entries, which agents are told.
+  virtual void SetEntryAddresses(std::vector<std::string> addresses) = 0;
+
+  /// Sets this entry's share of each team's quota, 0 to 1.
+  virtual void SetTeamShares(std::map<std::string, double> shares) = 0;
+
+  /// Called on the dispatcher thread when an agent hands over a configuration
+  /// that is newer than this entry's own.
+  virtual void OnNewerConfig(std::function<void(shared_config)> listener) = 0;
+
+  /// \returns through \p done the state of the dispatcher.
+  virtual void GetStatus(std::function<void(dispatch_status)> done) = 0;
+
+  /// Refuses new jobs as not run and calls \p drained when every admitted job
+  /// is decided and its caller was told.
+  virtual void Drain(std::function<void()> drained) = 0;
+};
+
+}  // namespace jayrill
+
+#endif  // JAYRILL_ENTRY_DISPATCH_PORT_H_
--- /dev/null
+++ b/src/jayrill/job.h
@@ -0,0 +1,13 @@
+#ifndef JAYRILL_JOB_H_
+#define JAYRILL_JOB_H_
+
+/// \file
+/// Umbrella header of the job module: what callers submit and what they get.
+
+#include "jayrill/job/job_collector.h"
+#include "jayrill/job/job_outcome.h"
+#include "jayrill/job/job_spec.h"
+#include "jayrill/job/start_order.h"
+#include "jayrill/job/task_result.h"
+
+#endif  // JAYRILL_JOB_H_
--- /dev/null
+++ b/src/jayrill/job/module.cmake
@@ -0,0 +1,3 @@
+jayrill_module(job
+  SOURCES job_collector.cc job_outcome.cc task_result.cc
+  DEPENDS jayrill_base)
--- /dev/null
+++ b/src/jayrill/rpc/dispatch.capnp
@@ -0,0 +1,142 @@
+@0xd1f5a6e2c93b7a48;
+
+# RPC between entries and agents. An agent dials the RPC port of an entry and
+# passes a capability by which the entry calls it back.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("jayrill::wire");
+
+interface EntryPort {
+  # Bootstrap capability of an entry.
+
+  identify @0 () -> (entry :EntryIdentity);
+  # Asked first: the agent needs the entry's incarnation to know which session
+  # it resumes.
+
+  connect @1 (hello :AgentHello, agent :AgentPort)
+      -> (welcome :EntryWelcome, session :EntrySession);
+  # Opens a session or resumes it on a new connection.
+}
+
+interface EntrySession {
+  report @0 (report :AgentReport) -> ();
+  # Results and the state of the minion; also the heartbeat of the agent. The
+  # return acknowledges every result in it.
+
+  goodbye @1 () -> ();
+  # The agent stops after a graceful shutdown; nothing is outstanding.
+}
+
+interface AgentPort {
+  start @0 (batch :StartBatch) -> ();
+  cancel @1 (numbers :List(UInt64)) -> ();
+  # Withdraws starts that still wait for a slot. Each is answered by a result:
+  # notRun when it was withdrawn, its own outcome otherwise.
+
+  configure @2 (config :Config) -> (revision :UInt64);
+  heartbeat @3 (entries :List(Text)) -> ();
+  # Sent when nothing else was sent for a heartbeat interval. Carries the RPC
+  # addresses (IP:port) of all live entries.
+}
+
+struct EntryIdentity {
+  id @0 :Text;
+  incarnation @1 :UInt64;
+  protocolVersion @2 :UInt32;
+}
+
+struct AgentHello {
+  protocolVersion @0 :UInt32;
+  agentId @1 :Text;
+  incarnation @2 :UInt64;
+  dataCentre @3 :Text;
+  worker @4 :Text;
+  rack @5 :Text;
+  epoch @6 :UInt64;          # connection epoch; above every earlier one
+  lastAccepted @7 :UInt64;   # start number; starts above it are fenced
+  config @8 :Config;         # newest configuration of the agent, or empty
+  status @9 :MinionStatus;
+}
+
+struct EntryWelcome {
+  config @0 :Config;         # newest configuration of the entry
+  entries @1 :List(Text);    # RPC addresses of all live entries
+  heartbeatMs @2 :UInt32;
+  resumed @3 :Bool;          # false: the entry knows no such session, and the
+                             # agent drops unacknowledged results of it
+}
+
+struct Config {
+  revision @0 :UInt64;       # 0: none
+  json @1 :Data;             # the configuration without its audit trail
+}
+
+struct StartBatch {
+  revision @0 :UInt64;       # configuration that the entry placed under
+  epoch @1 :UInt64;
+  starts @2 :List(Start);
+}
+
+struct Start {
+  number @0 :UInt64;
+  jobEntry @1 :UInt64;       # job id: entry incarnation and sequence
+  jobSequence @2 :UInt64;
+  taskIndex @3 :UInt32;
+  service @4 :Text;
+  kind @5 :Text;
+  payload @6 :Data;          # JSON
+  remainingMs @7 :UInt32;    # time left to the job's deadline
+  priority @8 :Float64;      # lower runs first in the agent's queue
+}
+
+enum TaskOutcome {
+  succeeded @0;
+  failed @1;                 # ran; the minion reported a failure
+  notRun @2;                 # did not run and will not
+  unknown @3;                # may have run
+}
+
+struct TaskResult {
+  number @0 :UInt64;
+  outcome @1 :TaskOutcome;
+  body @2 :Data;             # JSON of the minion, when it succeeded
+  message @3 :Text;          # reason, when it did not succeed
+  runMicros @4 :UInt64;      # from the call of the minion to its answer
+  waitMicros @5 :UInt64;     # in the agent's queue
+  reason @6 :NotRunReason;
+}
+
+enum NotRunReason {
+  none @0;
+  staleConfig @1;
+  dataCentreOut @2;
+  draining @3;
+  noMinion @4;
+  paused @5;
+  expired @6;
+  cancelled @7;
+  queueFull @8;
+  connectionRefused @9;
+  wrongService @10;
+}
+
+struct MinionStatus {
+  service @0 :Text;          # empty: no minion is announced
+  slots @1 :UInt32;
+  connections @2 :UInt32;
+  busy @3 :UInt32;           # slots in use, by all entries
+  queued @4 :UInt32;         # starts waiting at the agent, of all entries
+  draining @5 :Bool;
+  configRevision @6 :UInt64;
+  cores @7 :UInt32;
+  memoryMb @8 :UInt32;
+  accelerators @9 :UInt32;
+  expectedFreeMicros @10 :UInt64;
+  # Estimated time until a new start would get a slot.
+}
+
+struct AgentReport {
+  results @0 :List(TaskResult);
+  status @1 :MinionStatus;
+  config @2 :Config;         # set when the agent holds a newer one
+}
--- /dev/null
+++ b/src/jayrill/session.h
@@ -0,0 +1,12 @@
+#ifndef JAYRILL_SESSION_H_
+#define JAYRILL_SESSION_H_
+
+/// \file
+/// Umbrella header of the session module: numbering and fencing of starts
+/// between one entry incarnation and one agent incarnation.
+
+#include "jayrill/session/pause_detector.h"
+#include "jayrill/session/start_gate.h"
+#include "jayrill/session/start_window.h"
+
+#endif  // JAYRILL_SESSION_H_
--- /dev/null
+++ b/src/jayrill/session/pause_detector.h
@@ -0,0 +1,44 @@
+#ifndef JAYRILL_SESSION_PAUSE_DETECTOR_H_
+#define JAYRILL_SESSION_PAUSE_DETECTOR_H_
+
+#include <chrono>
+
+#include "jayrill/base/clock.h"
+
+namespace jayrill {
+
+/// Longest gap between two ticks of an event loop that is not a pause.
+inline constexpr std::chrono::milliseconds kPauseLimit{1000};
+
+/// Interval at which an event loop calls pause_detector::Tick.
+inline constexpr std::chrono::milliseconds kPauseTick{250};
+
+/// Detects that the process was stopped, for example by SIGSTOP or by the
+/// freeze of its virtual machine.
+///
+/// What waited in the sockets during the pause may be handled before the next
+/// timer, so every start is checked against the last tick as well.
+class pause_detector {
+ public:
+  explicit pause_detector(const clock& time)
+      : time_(time), last_tick_(time.Now()) {}
+
+  /// Called by a timer every kPauseTick.
+  /// \returns true when the process was paused since the last tick.
+  bool Tick() {
+    const bool paused = IsPaused();
+    last_tick_ = time_.Now();
+    return paused;
+  }
+
+  /// \returns true when the last tick is further back than kPauseLimit.
+  bool IsPaused() const { return time_.Now() - last_tick_ > kPauseLimit; }
+
+ private:
+  const clock& time_;
+  steady_time last_tick_;
+};
+
+}  // namespace jayrill
+
+#endif  // JAYRILL_SESSION_PAUSE_DETECTOR_H_
--- /dev/null
+++ b/tests/unit/base_test.cc
@@ -0,0 +1,74 @@
+#include "jayrill/base.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace jayrill {
+namespace {
+
+// Guards against a work queue that loses or reorders the posts of one thread
+// when several threads post at once.
+TEST(work_queue_test, KeepsOrderPerPoster) {
+  constexpr int kPosters = 4;
+  constexpr int kPosts = 1000;
+  work_queue queue;
+  std::vector<std::vector<int>> seen(kPosters);
+  std::vector<std::thread> posters;
+  posters.reserve(kPosters);
+  for (int poster = 0; poster < kPosters; ++poster) {
+    posters.emplace_back([&queue, &seen, poster] {
+      for (int i = 0; i < kPosts; ++i) {
+        queue.Post([&seen, poster, i] { seen[poster].push_back(i); });
+      }
+    });
+  }
+  for (std::thread& poster : posters) {
+    poster.join();
+  }
+  queue.Drain();
+  for (const std::vector<int>& order : seen) {
+    ASSERT_EQ(order.size(), static_cast<std::size_t>(kPosts));
+    EXPECT_TRUE(std::is_sorted(order.begin(), order.end()));
+  }
+}
+
+// Guards against a reader that sees a freed or half-replaced value.
+TEST(snapshot_test, ReadersSeeWholeValues) {
+  struct pair_value {
+    int first;
+    int second;
+  };
+  snapshot<pair_value> cell(pair_value{0, 0});
+  std::atomic<bool> done{false};
+  std::atomic<int> torn{0};
+  std::thread reader([&] {
+    const snapshot_reader_thread registration;
+    while (!done.load()) {
+      cell.Read([&](const pair_value& value) {
+        torn += value.first == value.second ? 0 : 1;
+      });
+    }
+  });
+  for (int i = 1; i <= 200; ++i) {
+    cell.Publish(pair_value{i, i});
+  }
+  done = true;
+  reader.join();
+  EXPECT_EQ(torn.load(), 0);
+}
+
+// Guards against errors that do not name the remedy.
+TEST(error_test, TextNamesKindMessageAndRemedy) {
+  const error failure{error_kind::kConflict, "profile 'fast' was changed",
+                      "read it again and repeat the command"};
+  EXPECT_EQ(ToString(failure),
+            "conflict: profile 'fast' was changed; read it again and repeat "
+            "the command");
+}
+
+}  // namespace
+}  // namespace jayrill
--- /dev/null
+++ b/tools/check_format.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Fails when a source file is not formatted as .clang-format says.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mapfile -t files < <(git ls-files -co --exclude-standard '*.cc' '*.h' |
+  grep -v 'capnp\.')
+clang-format --dry-run -Werror "${files[@]}"
+echo "format: ${#files[@]} files are clean"
