Add the scenario runner, its scripts and the placement tests

Cause: each guarantee needs a proof with real processes under failure, written before the processes exist so that it can fail first.

Ruled out: an own script language (Lua serves), a shell script per scenario (no event loop, so waiting would mean sleeping).

No scenario has run yet; the programs they drive are not in this commit, so the folder is built only once they are.

Conclusion: the scripts state what the processes have to meet.

--- /dev/null
+++ b/tests/scenario/connection_cut.lua
@@ -0,0 +1,28 @@
+-- Guards against a start that runs twice, or an answer that is lost, when the
+-- connections between agents and an entry are cut with starts in flight.
+local cluster = start_cluster({ entries = 2, agents = 3, slots = 4 })
+local entry = cluster.entries[1]
+for round, mode in ipairs({ "close", "stall", "close" }) do
+  local jobs = {}
+  for n = 1, 10 do
+    jobs[n] = submit(entry, { tasks = 6, work_ms = 60, tag = round .. "-" .. n })
+  end
+  host.run(80)
+  entry.agent_link.cut(mode)
+  host.run(300)
+  entry.agent_link.heal()
+  for n, job in ipairs(jobs) do
+    local answer = job.await()
+    if answer.status == 200 then
+      expect_whole(answer, 6, round .. "-" .. n)
+    else
+      expect(answer.json.error.effect, "a failure without an effect: %s", answer.text)
+    end
+  end
+  expect_no_task_twice(cluster.backends)
+  -- The session recovers: new jobs are whole again.
+  eventually("a whole answer after the cut", function()
+    return submit(entry, { tasks = 4, tag = "after" }).await().status == 200
+  end)
+end
+expect_no_task_twice(cluster.backends)
--- /dev/null
+++ b/tests/scenario/leaving_minion.lua
@@ -0,0 +1,40 @@
+-- Guards against new work for a minion that has announced its leaving, or that
+-- has died without a word.
+local bound_ms = 5000
+local cluster = start_cluster({ entries = 2, agents = 3, slots = 2 })
+local leaving, dying = cluster.backends[1], cluster.backends[2]
+
+local function load(count, tag)
+  local jobs = {}
+  for n = 1, count do
+    jobs[n] = submit(cluster.entries[n % 2 + 1], { tasks = 4, work_ms = 40, tag = tag })
+  end
+  return jobs
+end
+
+-- Announced: what runs is finished, nothing new starts.
+local jobs = load(10, "leave")
+local left = request("POST", cluster.agents[1].http, "/v1/leave", {}).await()
+expect(left.status == 200, "leave refused: %s", left.text)
+local since = host.unix_ms()
+for _, job in ipairs(jobs) do expect_whole(job.await(), 4, "leave") end
+leaving:term()
+for _, job in ipairs(load(10, "left")) do expect_whole(job.await(), 4, "left") end
+
+-- Unannounced: jobs with work on it fail as may have run, then it gets none.
+jobs = load(10, "die")
+host.run(60)
+dying:kill()
+for _, job in ipairs(jobs) do
+  local answer = job.await()
+  if answer.status ~= 200 then
+    expect(answer.json.error.effect == "may_have_run", "wrong effect: %s", answer.text)
+  end
+end
+eventually("the dead minion is noticed", function()
+  for _, agent in ipairs(status_of(cluster.entries[1]).agents) do
+    if agent.id == "a2" then return agent.service == "" end
+  end
+end, bound_ms * 4)
+for _, job in ipairs(load(10, "dead")) do expect_whole(job.await(), 4, "dead") end
+expect_no_task_twice({ cluster.backends[3] })
--- /dev/null
+++ b/tests/scenario/scenario_host.h
@@ -0,0 +1,113 @@
+#ifndef TESTS_SCENARIO_SCENARIO_HOST_H_
+#define TESTS_SCENARIO_SCENARIO_HOST_H_
+
+#include <QNetworkAccessManager>
+#include <QProcess>
+#include <QString>
+#include <QStringList>
+#include <QTcpServer>
+#include <QTcpSocket>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "forwarder.h"
+
+namespace jayrill::scenario {
+
+/// What a process uses, as the kernel reports it.
+struct process_usage {
+  long resident_kib = 0;
+  long cpu_ms = 0;
+  long io_bytes = 0;  ///< Read and written, sockets included.
+};
+
+/// Processes, requests and forwarders of one scenario; what the script's verbs
+/// are made of. Everything ends with the host.
+class scenario_host {
+ public:
+  struct http_answer {
+    int status = 0;  ///< 0: no answer, for example a cut connection.
+    QByteArray body;
+  };
+
+  ~scenario_host();
+
+  /// Starts \p program. \returns its number.
+  int Spawn(const QString& name,
+            const QString& program,
+            const QStringList& arguments,
+            const QStringList& environment);
+
+  /// Sends \p signal_number to the process \p id.
+  void Signal(int id, int signal_number);
+
+  /// \returns the exit code, -1 for a death by signal, nothing while the
+  /// process runs.
+  std::optional<int> ExitCode(int id) const;
+
+  /// \returns what the process has printed so far.
+  QString Output(int id);
+
+  /// \returns what the process \p id uses.
+  process_usage Usage(int id) const;
+
+  /// Begins an HTTP request. \returns its number.
+  int BeginRequest(const QByteArray& method,
+                   const QString& url,
+                   const std::map<QByteArray, QByteArray>& headers,
+                   const QByteArray& body);
+
+  /// \returns the answer once the request has ended.
+  std::optional<http_answer> Answer(int id) const;
+
+  /// Ends the request \p id from the caller's side.
+  void AbortRequest(int id);
+
+  /// \returns a number for a new forwarder to \p address.
+  int AddForwarder(const QString& address);
+  forwarder& Forwarder(int id) { return *forwarders_.at(id); }
+
+  /// Opens a raw connection to \p address and writes \p bytes.
+  /// \returns its number.
+  int OpenRaw(const QString& address, const QByteArray& bytes);
+
+  /// \returns what came back, and whether the connection is still open.
+  std::pair<QByteArray, bool> ReadRaw(int id);
+
+  /// \returns a port of 127.0.0.1 that is free now and was not returned before.
+  quint16 FreePort();
+
+  /// Handles events for \p milliseconds.
+  static void Run(int milliseconds);
+
+  /// Prints the output of all processes; called when a scenario fails.
+  void PrintOutputs();
+
+ private:
+  struct process {
+    QString name;
+    std::unique_ptr<QProcess> handle;
+    QString output;
+  };
+  struct request {
+    QNetworkReply* reply = nullptr;
+    std::optional<http_answer> answer;
+  };
+
+  QNetworkAccessManager& NextManager();
+
+  std::vector<process> processes_;
+  std::vector<std::unique_ptr<QNetworkAccessManager>> managers_;
+  std::map<int, request> requests_;
+  std::vector<std::unique_ptr<forwarder>> forwarders_;
+  std::vector<std::unique_ptr<QTcpSocket>> raw_;
+  std::vector<std::unique_ptr<QTcpServer>> reserved_;
+  int next_request_ = 0;
+};
+
+}  // namespace jayrill::scenario
+
+#endif  // TESTS_SCENARIO_SCENARIO_HOST_H_
--- /dev/null
+++ b/tests/scenario/whole_path.lua
@@ -0,0 +1,16 @@
+-- Guards against a path that loses, mixes or doubles results when several
+-- entries share the same minions.
+local cluster = start_cluster({ entries = 3, agents = 3 })
+local jobs = {}
+for n = 1, 60 do
+  local tag = "job" .. n
+  local tasks = (n * 7) % 40 + 1
+  jobs[n] = { tasks = tasks, tag = tag,
+    handle = submit(cluster.entries[n % 3 + 1], { tasks = tasks, tag = tag, work_ms = 5 }) }
+end
+local sum = 0
+for _, job in ipairs(jobs) do
+  expect_whole(job.handle.await(), job.tasks, job.tag)
+  sum = sum + job.tasks
+end
+expect(total_executions(cluster.backends) == sum, "executions differ from tasks")
--- /dev/null
+++ b/tests/unit/placement_test.cc
@@ -0,0 +1,193 @@
+#include "jayrill/placement.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <vector>
+
+namespace jayrill {
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+minion_view Minion(std::uint32_t outstanding,
+                   double slowness,
+                   microseconds expected_free = microseconds(0)) {
+  minion_view view;
+  view.slots = 2;
+  view.start_limit = 3;
+  view.outstanding = outstanding;
+  view.slowness = slowness;
+  view.expected_free = expected_free;
+  return view;
+}
+
+struct choice_case {
+  const char* name;
+  std::vector<minion_view> minions;
+  std::optional<std::size_t> expected;
+};
+
+class earliest_finish_test : public testing::TestWithParam<choice_case> {};
+
+// Guards against a slow minion that takes a task which a fast one would finish
+// sooner, and against work that waits although waiting does not pay.
+TEST_P(earliest_finish_test, Chooses) {
+  auto strategy = MakePlacementStrategy("jayrill", random_source(1));
+  ASSERT_TRUE(strategy.has_value());
+  EXPECT_EQ((*strategy)->Choose(milliseconds(100), GetParam().minions),
+            GetParam().expected);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Cases,
+    earliest_finish_test,
+    testing::Values(
+        choice_case{"nothing", {}, std::nullopt},
+        choice_case{"fastest_free", {Minion(0, 2.0), Minion(0, 1.0)}, 1},
+        choice_case{"slow_free_beats_long_wait",
+                    {Minion(0, 2.0), Minion(2, 1.0, milliseconds(150))},
+                    0},
+        choice_case{"waits_for_fast",
+                    {Minion(0, 3.0), Minion(2, 1.0, milliseconds(50))},
+                    std::nullopt},
+        choice_case{"all_at_their_limit",
+                    {Minion(3, 1.0), Minion(3, 2.0)},
+                    std::nullopt}),
+    [](const auto& test) { return test.param.name; });
+
+// Guards against a task of low urgency that is overtaken for ever.
+RC_GTEST_PROP(task_queue_property, NoTaskStarves, (std::uint64_t seed)) {
+  random_source random(seed);
+  manual_clock time;
+  task_queue queue;
+  queue.Push({job_id{{1}, 0}, 0, 0, time.Now(), milliseconds(100)});
+  std::uint64_t sequence = 0;
+  // The head start of the highest urgency is 4 s; ten more are generous.
+  for (int i = 0; i < 1400; ++i) {
+    time.Advance(milliseconds(10));
+    const auto urgency = static_cast<std::uint32_t>(random.Below(101));
+    queue.Push(
+        {job_id{{1}, ++sequence}, 0, urgency, time.Now(), milliseconds(100)});
+    const queued_task next = *queue.Front();
+    queue.PopFront();
+    if (next.job.sequence == 0) {
+      return;
+    }
+  }
+  RC_FAIL("the task of the lowest urgency never came first");
+}
+
+// Guards against a queue whose sum of run times drifts from its content.
+RC_GTEST_PROP(task_queue_property, KeepsItsSums, (std::uint64_t seed)) {
+  random_source random(seed);
+  task_queue queue;
+  for (std::uint32_t i = 0; i < 200; ++i) {
+    if (random.Below(3) > 0 || queue.empty()) {
+      queue.Push({job_id{{1}, random.Below(5)}, i, 50, steady_time(),
+                  milliseconds(random.Below(1000))});
+    } else if (random.Below(4) == 0) {
+      queue.RemoveJob(job_id{{1}, random.Below(5)});
+    } else {
+      queue.PopFront();
+    }
+    microseconds total{};
+    for (const queued_task& task : queue) {
+      total += task.run_time;
+    }
+    RC_ASSERT(total == queue.TotalRunTime());
+  }
+}
+
+// Guards against a job whose longest task starts last.
+TEST(task_queue_test, LongestTaskOfAJobGoesFirst) {
+  task_queue queue;
+  queue.Push({job_id{{1}, 1}, 0, 50, steady_time(), milliseconds(10)});
+  queue.Push({job_id{{1}, 1}, 1, 50, steady_time(), milliseconds(900)});
+  EXPECT_EQ(queue.Front()->index, 1U);
+}
+
+// Guards against slownesses that are not told apart from kinds of long tasks.
+TEST(speed_model_test, SeparatesMinionsFromKinds) {
+  speed_model model;
+  random_source random(7);
+  for (int i = 0; i < 4000; ++i) {
+    const std::uint64_t minion = random.Below(4);
+    const bool is_long = random.Below(2) == 0;
+    const double base = is_long ? 900'000 : 60'000;
+    model.Learn("quotes", is_long ? "long" : "short", minion,
+                microseconds(static_cast<std::int64_t>(
+                    base * (minion == 3 ? 3.0 : 1.0))));
+  }
+  EXPECT_NEAR(model.Slowness(3) / model.Slowness(0), 3.0, 0.3);
+  const double ratio =
+      static_cast<double>(model.ExpectedRunTime("quotes", "long", {}).count()) /
+      static_cast<double>(model.ExpectedRunTime("quotes", "short", {}).count());
+  EXPECT_NEAR(ratio, 15.0, 1.5);
+}
+
+// Guards against a minion that fails at once and so draws all work, and
+// against one that never comes back.
+TEST(minion_health_test, ClosesAndReopensByTrial) {
+  manual_clock time;
+  minion_health health;
+  for (int i = 0; i < 5; ++i) {
+    EXPECT_EQ(health.Permission(time.Now()), minion_health::permission::kOpen);
+    health.OnResult(false, time.Now());
+  }
+  EXPECT_EQ(health.Permission(time.Now()), minion_health::permission::kClosed);
+  time.Advance(std::chrono::seconds(1));
+  EXPECT_EQ(health.Permission(time.Now()), minion_health::permission::kTrial);
+  health.OnStart(time.Now());
+  EXPECT_EQ(health.Permission(time.Now()), minion_health::permission::kClosed);
+  health.OnResult(false, time.Now());
+  time.Advance(std::chrono::seconds(1));
+  EXPECT_EQ(health.Permission(time.Now()), minion_health::permission::kClosed);
+  time.Advance(std::chrono::seconds(1));
+  health.OnStart(time.Now());
+  health.OnResult(true, time.Now());
+  EXPECT_EQ(health.Permission(time.Now()), minion_health::permission::kOpen);
+}
+
+// Guards against retries that multiply the load, and against a budget that
+// never allows one.
+TEST(retry_budget_test, AllowsATenthOfFirstStarts) {
+  retry_budget budget;
+  while (budget.TryTake()) {
+  }
+  int taken = 0;
+  for (int i = 0; i < 1000; ++i) {
+    budget.OnFirstStart();
+    taken += budget.TryTake() ? 1 : 0;
+  }
+  EXPECT_NEAR(taken, 100, 1);
+}
+
+// Guards against a share that stops a team or lets it pass its quota.
+TEST(quota_ledger_test, KeepsTheShare) {
+  quota_ledger ledger;
+  ledger.SetShare("red", 0.5);
+  ledger.SetShare("blue", 0.0);
+  int started = 0;
+  while (ledger.MayStart("red", 10)) {
+    ledger.OnStart("red");
+    ++started;
+  }
+  EXPECT_EQ(started, 5);
+  EXPECT_TRUE(ledger.MayStart("blue", 10));
+  ledger.OnStart("blue");
+  EXPECT_FALSE(ledger.MayStart("blue", 10));
+  EXPECT_TRUE(ledger.MayStart("blue", 0));
+}
+
+// Guards against a stampede on a minion that has just returned.
+TEST(slow_start_test, GrowsFromOneToAllSlots) {
+  const steady_time since{};
+  EXPECT_EQ(SlowStartLimit(since, since, 8), 1U);
+  EXPECT_EQ(SlowStartLimit(since, since + kSlowStartTime / 2, 8), 4U);
+  EXPECT_EQ(SlowStartLimit(since, since + kSlowStartTime * 3, 8), 8U);
+}
+
+}  // namespace
+}  // namespace jayrill
