Fix the build of the scenario runner

Cause: an incomplete JSON array type and a shadowed name, found by compiling the folder by itself. Change: the missing include and another name. Conclusion: the four sources compile without warnings.

--- a/tests/scenario/scenario_host.cc
+++ b/tests/scenario/scenario_host.cc
@@ -124,15 +124,15 @@
                                 const QString& url,
                                 const std::map<QByteArray, QByteArray>& headers,
                                 const QByteArray& body) {
-  QNetworkRequest request{QUrl(url)};
-  request.setHeader(QNetworkRequest::ContentTypeHeader,
+  QNetworkRequest message{QUrl(url)};
+  message.setHeader(QNetworkRequest::ContentTypeHeader,
                     QStringLiteral("application/json"));
   for (const auto& [name, value] : headers) {
-    request.setRawHeader(name, value);
+    message.setRawHeader(name, value);
   }
   const int id = next_request_++;
   QNetworkReply* const reply =
-      NextManager().sendCustomRequest(request, method, body);
+      NextManager().sendCustomRequest(message, method, body);
   requests_[id].reply = reply;
   QObject::connect(reply, &QNetworkReply::finished, reply, [this, id, reply] {
     http_answer answer;
--- a/tests/scenario/scenario_runner.cc
+++ b/tests/scenario/scenario_runner.cc
@@ -4,6 +4,7 @@
 #include <signal.h>
 
 #include <QCoreApplication>
+#include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
 #include <chrono>
