Add the config changes, the memory store and the etcd store client

The entry needs the operators' configuration and the key-value service before the other modules can be joined.

--- a/src/jayrill/config/cluster_config.h
+++ b/src/jayrill/config/cluster_config.h
@@ -76,6 +76,9 @@
   std::string item;    ///< For example `profile/urgent`.
   std::string before;  ///< JSON; empty when the item was absent.
   std::string after;   ///< JSON; empty when the item was removed.
+  /// Drawn at random by the writer; it finds its own change by it when the
+  /// answer of the store was lost.
+  std::uint64_t token = 0;
 
   auto operator<=>(const audit_record&) const = default;
 };
--- /dev/null
+++ b/src/jayrill/config/config_codec.cc
@@ -0,0 +1,112 @@
+#include "jayrill/config/config_codec.h"
+
+#include <QJsonArray>
+#include <string>
+
+#include "jayrill/config/internal/config_json.h"
+
+namespace jayrill {
+
+namespace {
+
+using namespace Qt::StringLiterals;
+
+template <typename Map>
+QJsonObject EncodeItems(const Map& items) {
+  QJsonObject json;
+  for (const auto& [name, item] : items) {
+    QJsonObject value = config::internal::ToJson(item);
+    value.insert(u"changed"_s, static_cast<qint64>(item.changed.value));
+    json.insert(ToJsonText(name), value);
+  }
+  return json;
+}
+
+QJsonArray EncodeRecords(const std::vector<audit_record>& records) {
+  QJsonArray json;
+  for (const audit_record& record : records) {
+    json.append(config::internal::ToJson(record));
+  }
+  return json;
+}
+
+void ReadRecords(const json_object& json, std::vector<audit_record>& records) {
+  json.ForEachItem("audit", [&](const json_object& item) {
+    records.push_back(config::internal::ReadAuditRecord(item));
+  });
+}
+
+void ReadItems(const json_object& json, cluster_config& config) {
+  json.ForEach("profiles", [&](const std::string& name, const json_object& v) {
+    config.profiles[name] = config::internal::ReadProfile(v);
+  });
+  json.ForEach("services", [&](const std::string& name, const json_object& v) {
+    config.services[name] = {v.Text("profile"),
+                             config_revision{v.Number("changed")}};
+  });
+  json.ForEach("teams", [&](const std::string& name, const json_object& v) {
+    config.teams[name] = {v.Number32("max_running"),
+                          config_revision{v.Number("changed")}};
+  });
+  json.ForEach("data_centres",
+               [&](const std::string& name, const json_object& v) {
+                 // A data centre of unknown state must not count as in service.
+                 v.Require("out");
+                 config.data_centres[name] = {
+                     v.Flag("out"), config_revision{v.Number("changed")}};
+               });
+}
+
+}  // namespace
+
+std::string EncodeConfig(const cluster_config& config, audit_trail audit) {
+  QJsonObject json{
+      {u"revision"_s, static_cast<qint64>(config.revision.value)},
+      {u"profiles"_s, EncodeItems(config.profiles)},
+      {u"services"_s, EncodeItems(config.services)},
+      {u"teams"_s, EncodeItems(config.teams)},
+      {u"data_centres"_s, EncodeItems(config.data_centres)},
+  };
+  if (audit == audit_trail::kIncluded) {
+    json.insert(u"audit"_s, EncodeRecords(config.audit));
+  }
+  return ToText(json);
+}
+
+result<cluster_config> DecodeConfig(std::string_view text) {
+  const json_object json = json_object::Parse(text);
+  cluster_config config;
+  json.Require("revision");
+  config.revision.value = json.Number("revision");
+  ReadItems(json, config);
+  ReadRecords(json, config.audit);
+  if (auto checked = json.Check("configuration"); !checked) {
+    return tl::unexpected(checked.error());
+  }
+  return config;
+}
+
+std::string EncodeAudit(const std::vector<audit_record>& records) {
+  return ToText({{u"audit"_s, EncodeRecords(records)}});
+}
+
+result<std::vector<audit_record>> DecodeAudit(std::string_view text) {
+  const json_object json = json_object::Parse(text);
+  std::vector<audit_record> records;
+  ReadRecords(json, records);
+  if (auto checked = json.Check("audit trail"); !checked) {
+    return tl::unexpected(checked.error());
+  }
+  return records;
+}
+
+result<profile> DecodeProfile(std::string_view text) {
+  const json_object json = json_object::Parse(text);
+  profile value = config::internal::ReadProfile(json);
+  if (auto checked = json.Check("profile"); !checked) {
+    return tl::unexpected(checked.error());
+  }
+  return value;
+}
+
+}  // namespace jayrill
--- a/src/jayrill/config/config_codec.h
+++ b/src/jayrill/config/config_codec.h
@@ -3,6 +3,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "jayrill/base/error.h"
 #include "jayrill/config/cluster_config.h"
@@ -20,6 +21,13 @@
 /// releases can be mixed; anything malformed is an error kInvalidArgument.
 result<cluster_config> DecodeConfig(std::string_view json);
 
+/// \returns the JSON form of an archived part of the audit trail.
+std::string EncodeAudit(const std::vector<audit_record>& records);
+result<std::vector<audit_record>> DecodeAudit(std::string_view json);
+
+/// \returns the profile in \p json, as operators send it; it is not validated.
+result<profile> DecodeProfile(std::string_view json);
+
 }  // namespace jayrill
 
 #endif  // JAYRILL_CONFIG_CONFIG_CODEC_H_
--- /dev/null
+++ b/src/jayrill/config/internal/config_json.cc
@@ -0,0 +1,98 @@
+#include "jayrill/config/internal/config_json.h"
+
+#include <QJsonArray>
+#include <string>
+
+namespace jayrill::config::internal {
+
+namespace {
+
+using namespace Qt::StringLiterals;
+
+qint64 ToNumber(std::uint64_t value) {
+  return static_cast<qint64>(value);
+}
+
+}  // namespace
+
+QJsonObject ToJson(const profile& value) {
+  QJsonArray data_centres;
+  for (const std::string& name : value.placement.data_centres) {
+    data_centres.append(ToJsonText(name));
+  }
+  return {
+      {u"urgency"_s, ToNumber(value.urgency)},
+      {u"limits"_s,
+       QJsonObject{
+           {u"max_tasks"_s, ToNumber(value.limits.max_tasks)},
+           {u"max_running"_s, ToNumber(value.limits.max_running)},
+           {u"max_deadline_ms"_s, qint64{value.limits.max_deadline.count()}}}},
+      {u"placement"_s,
+       QJsonObject{
+           {u"data_centres"_s, data_centres},
+           {u"min_cores"_s, ToNumber(value.placement.min_cores)},
+           {u"min_memory_mb"_s, ToNumber(value.placement.min_memory_mb)},
+           {u"min_accelerators"_s,
+            ToNumber(value.placement.min_accelerators)}}},
+  };
+}
+
+QJsonObject ToJson(const service_binding& value) {
+  return {{u"profile"_s, ToJsonText(value.profile)}};
+}
+
+QJsonObject ToJson(const team_quota& value) {
+  return {{u"max_running"_s, ToNumber(value.max_running)}};
+}
+
+QJsonObject ToJson(const data_centre_state& value) {
+  return {{u"out"_s, value.out}};
+}
+
+QJsonObject ToJson(const audit_record& value) {
+  return {
+      {u"revision"_s, ToNumber(value.revision.value)},
+      {u"when_ms"_s, qint64{value.when.time_since_epoch().count()}},
+      {u"operator"_s, ToJsonText(value.operator_name)},
+      {u"reason"_s, ToJsonText(value.reason)},
+      {u"item"_s, ToJsonText(value.item)},
+      {u"before"_s, ToJsonText(value.before)},
+      {u"after"_s, ToJsonText(value.after)},
+      {u"token"_s, ToJsonHex(value.token)},
+  };
+}
+
+profile ReadProfile(const json_object& json) {
+  profile value;
+  if (json.Has("urgency")) {
+    value.urgency = json.Number32("urgency");
+  }
+  const json_object limits = json.Child("limits");
+  value.limits.max_tasks = limits.Number32("max_tasks");
+  value.limits.max_running = limits.Number32("max_running");
+  value.limits.max_deadline =
+      std::chrono::milliseconds(limits.Number("max_deadline_ms"));
+  const json_object placement = json.Child("placement");
+  for (std::string& name : placement.Texts("data_centres")) {
+    value.placement.data_centres.insert(std::move(name));
+  }
+  value.placement.min_cores = placement.Number32("min_cores");
+  value.placement.min_memory_mb = placement.Number32("min_memory_mb");
+  value.placement.min_accelerators = placement.Number32("min_accelerators");
+  value.changed.value = json.Number("changed");
+  return value;
+}
+
+audit_record ReadAuditRecord(const json_object& json) {
+  json.Require("revision");
+  return {config_revision{json.Number("revision")},
+          wall_time(std::chrono::milliseconds(json.Number("when_ms"))),
+          json.Text("operator"),
+          json.Text("reason"),
+          json.Text("item"),
+          json.Text("before"),
+          json.Text("after"),
+          json.Hex("token")};
+}
+
+}  // namespace jayrill::config::internal
--- /dev/null
+++ b/src/jayrill/config/internal/config_json.h
@@ -0,0 +1,24 @@
+#ifndef JAYRILL_CONFIG_INTERNAL_CONFIG_JSON_H_
+#define JAYRILL_CONFIG_INTERNAL_CONFIG_JSON_H_
+
+#include <QJsonObject>
+
+#include "jayrill/config/cluster_config.h"
+#include "jayrill/store/json_object.h"
+
+namespace jayrill::config::internal {
+
+/// JSON form of an item without the revision of its last change, as audit
+/// records and error messages show it.
+QJsonObject ToJson(const profile& value);
+QJsonObject ToJson(const service_binding& value);
+QJsonObject ToJson(const team_quota& value);
+QJsonObject ToJson(const data_centre_state& value);
+QJsonObject ToJson(const audit_record& value);
+
+profile ReadProfile(const json_object& json);
+audit_record ReadAuditRecord(const json_object& json);
+
+}  // namespace jayrill::config::internal
+
+#endif  // JAYRILL_CONFIG_INTERNAL_CONFIG_JSON_H_
--- a/src/jayrill/config/module.cmake
+++ b/src/jayrill/config/module.cmake
@@ -1,3 +1,4 @@
 jayrill_module(config
-  SOURCES cluster_config.cc
-  DEPENDS jayrill_base Qt6::Core)
+  SOURCES cluster_config.cc config_change.cc config_codec.cc config_store.cc
+          internal/config_json.cc
+  DEPENDS jayrill_base jayrill_store Qt6::Core)
--- a/src/jayrill/store/module.cmake
+++ b/src/jayrill/store/module.cmake
@@ -1,3 +1,4 @@
-# The port is header only until its first implementation.
-add_library(jayrill_store INTERFACE)
-target_link_libraries(jayrill_store INTERFACE jayrill_base)
+jayrill_module(store
+  SOURCES etcd_store.cc json_object.cc memory_store.cc qt_scheduler.cc
+          internal/etcd_call.cc internal/etcd_json.cc internal/etcd_watch.cc
+  DEPENDS jayrill_base Qt6::Core Qt6::Network glog::glog)
