--- a/src/jayrill/store/internal/etcd_call.h
+++ b/src/jayrill/store/internal/etcd_call.h
@@ -35,7 +35,10 @@
   etcd_client(const std::vector<std::string>& endpoints,
               std::chrono::milliseconds timeout);
 
-  void Post(QString path, QJsonObject body, call_kind kind, done_function done);
+  void Post(const QString& path,
+            const QJsonObject& body,
+            call_kind kind,
+            const done_function& done);
 
   /// Opens a call whose answer has no end; the caller owns the reply.
   QNetworkReply* OpenStream(const QString& path, const QJsonObject& body);
@@ -44,11 +47,11 @@
   void UseNextEndpoint() { current_ = (current_ + 1) % endpoints_.size(); }
 
  private:
-  void Try(QString path,
-           QJsonObject body,
+  void Try(const QString& path,
+           const QJsonObject& body,
            call_kind kind,
            std::size_t tries_left,
-           done_function done);
+           const done_function& done);
   QNetworkRequest Request(const QString& path) const;
 
   std::vector<QString> endpoints_;
