--- /dev/null
+++ b/src/jayrill/claim/request_key.cc
@@ -0,0 +1,60 @@
+#include "jayrill/claim/request_key.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdint>
+
+#include "jayrill/base/hash.h"
+
+namespace jayrill {
+
+namespace {
+
+// Milliseconds of a year far beyond any use, below the limit of the type.
+constexpr std::int64_t kMaxKeyMs = 100'000'000'000'000;
+
+bool IsPrintable(std::string_view text) {
+  return std::all_of(text.begin(), text.end(),
+                     [](char c) { return c > ' ' && c <= '~'; });
+}
+
+}  // namespace
+
+result<request_key> ParseRequestKey(std::string_view text) {
+  std::int64_t milliseconds = 0;
+  const char* const end = text.data() + text.size();
+  const auto [rest, failure] = std::from_chars(text.data(), end, milliseconds);
+  const bool has_time = failure == std::errc() && milliseconds >= 0 &&
+                        milliseconds <= kMaxKeyMs && rest != end &&
+                        *rest == '-';
+  if (!has_time || rest + 1 == end || text.size() > kMaxRequestKeySize ||
+      !IsPrintable(text)) {
+    return MakeError(error_kind::kInvalidArgument,
+                     "the request key is malformed",
+                     "use <unix-ms>-<name> of at most 128 printable characters "
+                     "without spaces");
+  }
+  return request_key{std::string(text),
+                     wall_time(std::chrono::milliseconds(milliseconds))};
+}
+
+key_age AgeOf(wall_time time, wall_time now) {
+  if (now - time > kClaimWindow) {
+    return key_age::kExpired;
+  }
+  return time - now > kMaxClockSkew ? key_age::kInFuture : key_age::kValid;
+}
+
+bool IsClaimOver(wall_time time, wall_time now) {
+  return now - time > kClaimLifetime;
+}
+
+std::size_t ShardOf(const request_key& key) {
+  return StableHash(key.text) % kClaimShards;
+}
+
+std::string ShardKey(std::size_t shard) {
+  return "/jayrill/claims/" + std::to_string(shard);
+}
+
+}  // namespace jayrill
