--- a/src/jayrill/config/config_codec.cc
+++ b/src/jayrill/config/config_codec.cc
@@ -9,13 +9,14 @@
 
 namespace {
 
+using namespace Qt::StringLiterals;
+
 template <typename Map>
 QJsonObject EncodeItems(const Map& items) {
   QJsonObject json;
   for (const auto& [name, item] : items) {
     QJsonObject value = config::internal::ToJson(item);
-    value.insert(QStringLiteral("changed"),
-                 static_cast<qint64>(item.changed.value));
+    value.insert(u"changed"_s, static_cast<qint64>(item.changed.value));
     json.insert(ToJsonText(name), value);
   }
   return json;
@@ -60,14 +61,14 @@
 
 std::string EncodeConfig(const cluster_config& config, audit_trail audit) {
   QJsonObject json{
-      {QStringLiteral("revision"), static_cast<qint64>(config.revision.value)},
-      {QStringLiteral("profiles"), EncodeItems(config.profiles)},
-      {QStringLiteral("services"), EncodeItems(config.services)},
-      {QStringLiteral("teams"), EncodeItems(config.teams)},
-      {QStringLiteral("data_centres"), EncodeItems(config.data_centres)},
+      {u"revision"_s, static_cast<qint64>(config.revision.value)},
+      {u"profiles"_s, EncodeItems(config.profiles)},
+      {u"services"_s, EncodeItems(config.services)},
+      {u"teams"_s, EncodeItems(config.teams)},
+      {u"data_centres"_s, EncodeItems(config.data_centres)},
   };
   if (audit == audit_trail::kIncluded) {
-    json.insert(QStringLiteral("audit"), EncodeRecords(config.audit));
+    json.insert(u"audit"_s, EncodeRecords(config.audit));
   }
   return ToText(json);
 }
@@ -86,7 +87,7 @@
 }
 
 std::string EncodeAudit(const std::vector<audit_record>& records) {
-  return ToText({{QStringLiteral("audit"), EncodeRecords(records)}});
+  return ToText({{u"audit"_s, EncodeRecords(records)}});
 }
 
 result<std::vector<audit_record>> DecodeAudit(std::string_view text) {
--- a/src/jayrill/config/config_store.cc
+++ b/src/jayrill/config/config_store.cc
@@ -63,10 +63,10 @@
   item->change = std::move(change);
   item->done = std::move(done);
   item->limit = clock_.Now() + kSubmitLimit;
-  Read(item);
+  Read(std::move(item));
 }
 
-void config_store::Read(const submission_ref& item) {
+void config_store::Read(submission_ref item) {
   store_.Get(kConfigKey,
              guard_.Wrap([this, item](result<std::optional<store_entry>> got) {
                if (got) {
@@ -77,7 +77,7 @@
              }));
 }
 
-void config_store::Apply(const submission_ref& item,
+void config_store::Apply(submission_ref item,
                          const std::optional<store_entry>& found) {
   const result<cluster_config> config = Decode(found);
   if (!config) {
@@ -110,9 +110,9 @@
   item->tried = config->revision;
   std::vector<audit_record> archive = TakeArchive(*next);
   if (archive.empty()) {
-    Write(item, at, std::move(*next));
+    Write(std::move(item), at, std::move(*next));
   } else {
-    Archive(item, at, std::move(*next), std::move(archive));
+    Archive(std::move(item), at, std::move(*next), std::move(archive));
   }
 }
 
@@ -144,7 +144,7 @@
   return false;
 }
 
-void config_store::Archive(const submission_ref& item,
+void config_store::Archive(submission_ref item,
                            store_revision expected,
                            cluster_config next,
                            std::vector<audit_record> archive) {
@@ -165,7 +165,7 @@
       }));
 }
 
-void config_store::Write(const submission_ref& item,
+void config_store::Write(submission_ref item,
                          store_revision expected,
                          cluster_config next) {
   auto config = std::make_shared<const cluster_config>(std::move(next));
@@ -187,7 +187,7 @@
       }));
 }
 
-void config_store::Retry(const submission_ref& item) {
+void config_store::Retry(submission_ref item) {
   if (clock_.Now() >= item->limit) {
     Fail(*item, {error_kind::kUnavailable, "the store did not take the change",
                  "repeat the change later"});
@@ -200,10 +200,9 @@
 
 // A write without an answer must be settled before the operator is told that
 // the change was not accepted.
-void config_store::FailOrRetry(const submission_ref& item,
-                               const error& failure) {
+void config_store::FailOrRetry(submission_ref item, const error& failure) {
   if (item->unsettled) {
-    Retry(item);
+    Retry(std::move(item));
   } else {
     Fail(*item, failure);
   }
@@ -226,7 +225,7 @@
   }
 }
 
-void config_store::ReadAudit(const audit_callback& done) {
+void config_store::ReadAudit(store::callback<std::vector<audit_record>> done) {
   store_.List(
       kAuditPrefix,
       guard_.Wrap([this, done](result<std::vector<store_entry>> archives) {
--- a/src/jayrill/config/internal/config_json.cc
+++ b/src/jayrill/config/internal/config_json.cc
@@ -7,6 +7,8 @@
 
 namespace {
 
+using namespace Qt::StringLiterals;
+
 qint64 ToNumber(std::uint64_t value) {
   return static_cast<qint64>(value);
 }
@@ -19,47 +21,44 @@
     data_centres.append(ToJsonText(name));
   }
   return {
-      {QStringLiteral("urgency"), ToNumber(value.urgency)},
-      {QStringLiteral("limits"),
+      {u"urgency"_s, ToNumber(value.urgency)},
+      {u"limits"_s,
        QJsonObject{
-           {QStringLiteral("max_tasks"), ToNumber(value.limits.max_tasks)},
-           {QStringLiteral("max_running"), ToNumber(value.limits.max_running)},
-           {QStringLiteral("max_deadline_ms"),
-            qint64{value.limits.max_deadline.count()}}}},
-      {QStringLiteral("placement"),
+           {u"max_tasks"_s, ToNumber(value.limits.max_tasks)},
+           {u"max_running"_s, ToNumber(value.limits.max_running)},
+           {u"max_deadline_ms"_s, qint64{value.limits.max_deadline.count()}}}},
+      {u"placement"_s,
        QJsonObject{
-           {QStringLiteral("data_centres"), data_centres},
-           {QStringLiteral("min_cores"), ToNumber(value.placement.min_cores)},
-           {QStringLiteral("min_memory_mb"),
-            ToNumber(value.placement.min_memory_mb)},
-           {QStringLiteral("min_accelerators"),
+           {u"data_centres"_s, data_centres},
+           {u"min_cores"_s, ToNumber(value.placement.min_cores)},
+           {u"min_memory_mb"_s, ToNumber(value.placement.min_memory_mb)},
+           {u"min_accelerators"_s,
             ToNumber(value.placement.min_accelerators)}}},
   };
 }
 
 QJsonObject ToJson(const service_binding& value) {
-  return {{QStringLiteral("profile"), ToJsonText(value.profile)}};
+  return {{u"profile"_s, ToJsonText(value.profile)}};
 }
 
 QJsonObject ToJson(const team_quota& value) {
-  return {{QStringLiteral("max_running"), ToNumber(value.max_running)}};
+  return {{u"max_running"_s, ToNumber(value.max_running)}};
 }
 
 QJsonObject ToJson(const data_centre_state& value) {
-  return {{QStringLiteral("out"), value.out}};
+  return {{u"out"_s, value.out}};
 }
 
 QJsonObject ToJson(const audit_record& value) {
   return {
-      {QStringLiteral("revision"), ToNumber(value.revision.value)},
-      {QStringLiteral("when_ms"),
-       qint64{value.when.time_since_epoch().count()}},
-      {QStringLiteral("operator"), ToJsonText(value.operator_name)},
-      {QStringLiteral("reason"), ToJsonText(value.reason)},
-      {QStringLiteral("item"), ToJsonText(value.item)},
-      {QStringLiteral("before"), ToJsonText(value.before)},
-      {QStringLiteral("after"), ToJsonText(value.after)},
-      {QStringLiteral("token"), ToJsonHex(value.token)},
+      {u"revision"_s, ToNumber(value.revision.value)},
+      {u"when_ms"_s, qint64{value.when.time_since_epoch().count()}},
+      {u"operator"_s, ToJsonText(value.operator_name)},
+      {u"reason"_s, ToJsonText(value.reason)},
+      {u"item"_s, ToJsonText(value.item)},
+      {u"before"_s, ToJsonText(value.before)},
+      {u"after"_s, ToJsonText(value.after)},
+      {u"token"_s, ToJsonHex(value.token)},
   };
 }
 
--- /dev/null
+++ b/src/jayrill/entry/agent_connection.cc
@@ -0,0 +1,177 @@
+#include "jayrill/entry/agent_connection.h"
+
+#include <glog/logging.h>
+
+#include <iterator>
+#include <utility>
+
+#include "jayrill/entry/agent_server.h"
+#include "jayrill/entry/entry_port_server.h"
+#include "jayrill/rpc/codec.h"
+
+namespace jayrill {
+
+namespace {
+
+/// Calls to one agent that may wait for an answer. Further batches wait at
+/// the entry, where a reconnect can still fence them.
+constexpr std::size_t kMaxCallsInFlight = 16;
+
+/// Starts and bytes of one batch. Both keep a message far below the limit of
+/// its receiver.
+constexpr std::size_t kMaxBatchStarts = 256;
+constexpr std::size_t kMaxBatchBytes = std::size_t{4} << 20U;
+
+/// Time for identify and connect.
+constexpr auto kHandshakeLimit = 10 * kj::SECONDS;
+
+/// Limits for what an agent sends: 16 MB a message, and calls of twice that
+/// size in progress.
+constexpr std::uint64_t kMaxMessageWords = std::uint64_t{2} << 20U;
+constexpr int kMaxNesting = 16;
+
+capnp::ReaderOptions Limits() {
+  capnp::ReaderOptions options;
+  options.traversalLimitInWords = kMaxMessageWords;
+  options.nestingLimit = kMaxNesting;
+  return options;
+}
+
+/// \returns the first part of \p batch that fits into a message; the rest
+/// stays in \p batch.
+start_batch TakePart(start_batch& batch) {
+  std::size_t bytes = 0;
+  std::size_t count = 0;
+  while (count < batch.starts.size() && count < kMaxBatchStarts) {
+    bytes += batch.starts[count].payload.size();
+    if (count > 0 && bytes > kMaxBatchBytes) {
+      break;
+    }
+    ++count;
+  }
+  start_batch part{batch.revision, batch.epoch, {}};
+  const auto end = batch.starts.begin() + static_cast<std::ptrdiff_t>(count);
+  part.starts.assign(std::make_move_iterator(batch.starts.begin()),
+                     std::make_move_iterator(end));
+  batch.starts.erase(batch.starts.begin(), end);
+  return part;
+}
+
+}  // namespace
+
+agent_connection::agent_connection(agent_server& server,
+                                   kj::Own<kj::AsyncIoStream> stream)
+    : server_(server),
+      stream_(kj::mv(stream)),
+      network_(*stream_, capnp::rpc::twoparty::Side::SERVER, Limits()),
+      rpc_(capnp::makeRpcServer(network_, kj::heap<entry_port_server>(*this))),
+      calls_(*this) {
+  rpc_.setFlowLimit(2 * kMaxMessageWords);
+}
+
+agent_connection::~agent_connection() noexcept(false) {
+  server_.OnClosed(*this);
+}
+
+kj::Promise<void> agent_connection::Run(kj::Timer& timer) {
+  auto handshake = timer.afterDelay(kHandshakeLimit).then([this]() {
+    if (is_agent()) {
+      return kj::Promise<void>(kj::NEVER_DONE);
+    }
+    LOG(WARNING) << "rpc: a connection was closed because no agent has "
+                    "introduced itself on it";
+    return kj::Promise<void>(kj::READY_NOW);
+  });
+  return network_.onDisconnect()
+      .exclusiveJoin(kj::mv(dropped_.promise))
+      .exclusiveJoin(kj::mv(handshake));
+}
+
+void agent_connection::Drop() {
+  dropped_.fulfiller->fulfill();
+}
+
+void agent_connection::Become(agent_handle agent,
+                              connection_id connection,
+                              wire::AgentPort::Client port) {
+  agent_ = agent;
+  id_ = connection;
+  port_ = kj::mv(port);
+  last_sent_ = server_.time().Now();
+}
+
+wire::AgentPort::Client& agent_connection::Port() {
+  last_sent_ = server_.time().Now();
+  return KJ_REQUIRE_NONNULL(port_, "the connection has no agent yet");
+}
+
+void agent_connection::SendStarts(start_batch batch) {
+  while (!batch.starts.empty()) {
+    pending_.push_back(TakePart(batch));
+  }
+  SendPending();
+}
+
+void agent_connection::SendPending() {
+  while (!pending_.empty() && in_flight_ < kMaxCallsInFlight) {
+    const start_batch batch = std::move(pending_.front());
+    pending_.pop_front();
+    auto request = Port().startRequest();
+    auto wire = request.initBatch();
+    wire.setRevision(batch.revision.value);
+    wire.setEpoch(batch.epoch.value);
+    auto starts = wire.initStarts(static_cast<unsigned>(batch.starts.size()));
+    for (unsigned i = 0; i < starts.size(); ++i) {
+      Encode(batch.starts[i], starts[i]);
+    }
+    ++in_flight_;
+    calls_.add(request.send().ignoreResult().then([this]() {
+      --in_flight_;
+      SendPending();
+    }));
+  }
+}
+
+void agent_connection::SendCancel(const std::vector<start_number>& numbers) {
+  // A start in a batch that still waits here is not withdrawn: the agent
+  // ignores the number of a start that it has not got yet.
+  auto request = Port().cancelRequest();
+  auto wire = request.initNumbers(static_cast<unsigned>(numbers.size()));
+  for (unsigned i = 0; i < wire.size(); ++i) {
+    wire.set(i, numbers[i].value);
+  }
+  calls_.add(request.send().ignoreResult());
+}
+
+void agent_connection::SendConfig(config_revision revision,
+                                  const std::string& json,
+                                  std::uint64_t push) {
+  auto request = Port().configureRequest();
+  auto wire = request.initConfig();
+  wire.setRevision(revision.value);
+  wire.setJson(ToData(json));
+  calls_.add(request.send().then([this, push](auto&& response) {
+    server_.OnConfigAcknowledged(*this, push,
+                                 config_revision{response.getRevision()});
+  }));
+}
+
+void agent_connection::SendHeartbeat(const std::vector<std::string>& entries) {
+  auto request = Port().heartbeatRequest();
+  auto wire = request.initEntries(static_cast<unsigned>(entries.size()));
+  for (unsigned i = 0; i < wire.size(); ++i) {
+    wire.set(i, entries[i]);
+  }
+  calls_.add(request.send().ignoreResult());
+}
+
+void agent_connection::taskFailed(kj::Exception&& exception) {
+  if (exception.getType() != kj::Exception::Type::DISCONNECTED) {
+    LOG(WARNING) << "rpc: a call to an agent failed: "
+                 << exception.getDescription().cStr();
+  }
+  // The reconnect tells which starts the agent has accepted.
+  Drop();
+}
+
+}  // namespace jayrill
--- /dev/null
+++ b/src/jayrill/entry/agent_connection.h
@@ -0,0 +1,74 @@
+#ifndef JAYRILL_ENTRY_AGENT_CONNECTION_H_
+#define JAYRILL_ENTRY_AGENT_CONNECTION_H_
+
+#include <capnp/rpc-twoparty.h>
+#include <kj/async-io.h>
+
+#include <cstddef>
+#include <deque>
+#include <string>
+#include <vector>
+
+#include "jayrill/base/clock.h"
+#include "jayrill/entry/dispatch_output.h"
+#include "jayrill/rpc/dispatch.capnp.h"
+
+namespace jayrill {
+
+class agent_server;
+
+/// One TCP connection of an agent, from accept to close.
+class agent_connection final : private kj::TaskSet::ErrorHandler {
+ public:
+  agent_connection(agent_server& server, kj::Own<kj::AsyncIoStream> stream);
+  ~agent_connection() noexcept(false);
+  KJ_DISALLOW_COPY(agent_connection);
+
+  /// \returns a promise that ends with the connection. A peer that has not
+  /// become an agent within the handshake limit is dropped.
+  kj::Promise<void> Run(kj::Timer& timer);
+
+  /// Makes the promise of Run end.
+  void Drop();
+
+  /// Makes this the connection of \p agent, which is called through \p port.
+  void Become(agent_handle agent,
+              connection_id connection,
+              wire::AgentPort::Client port);
+
+  /// Sends \p batch, at once or when earlier ones have been answered.
+  void SendStarts(start_batch batch);
+  void SendCancel(const std::vector<start_number>& numbers);
+  void SendConfig(config_revision revision,
+                  const std::string& json,
+                  std::uint64_t push);
+  void SendHeartbeat(const std::vector<std::string>& entries);
+
+  bool is_agent() const { return port_ != nullptr; }
+  agent_handle agent() const { return agent_; }
+  connection_id id() const { return id_; }
+  steady_time last_sent() const { return last_sent_; }
+  agent_server& server() { return server_; }
+
+ private:
+  void taskFailed(kj::Exception&& exception) override;
+  void SendPending();
+  wire::AgentPort::Client& Port();
+
+  agent_server& server_;
+  kj::Own<kj::AsyncIoStream> stream_;
+  capnp::TwoPartyVatNetwork network_;
+  capnp::RpcSystem<capnp::rpc::twoparty::VatId> rpc_;
+  kj::PromiseFulfillerPair<void> dropped_ = kj::newPromiseAndFulfiller<void>();
+  kj::Maybe<wire::AgentPort::Client> port_;
+  agent_handle agent_;
+  connection_id id_;
+  steady_time last_sent_;
+  std::deque<start_batch> pending_;
+  std::size_t in_flight_ = 0;
+  kj::TaskSet calls_;
+};
+
+}  // namespace jayrill
+
+#endif  // JAYRILL_ENTRY_AGENT_CONNECTION_H_
--- /dev/null
+++ b/src/jayrill/entry/agent_hello.h
@@ -0,0 +1,34 @@
+#ifndef JAYRILL_ENTRY_AGENT_HELLO_H_
+#define JAYRILL_ENTRY_AGENT_HELLO_H_
+
+#include <string>
+
+#include "jayrill/base/ids.h"
+#include "jayrill/job/task_result.h"
+
+namespace jayrill {
+
+/// Numbers an agent within one entry; the same for all its connections and
+/// incarnations.
+using agent_handle = strong_id<struct agent_handle_tag>;
+
+/// Numbers the accepted connections of one entry.
+using connection_id = strong_id<struct connection_id_tag>;
+
+/// What an agent says of itself when it connects.
+struct agent_hello {
+  std::string agent_id;
+  incarnation process;
+  std::string data_centre;
+  std::string worker;
+  std::string rack;
+  connection_epoch epoch;
+  start_number last_accepted;
+  minion_status status;
+
+  auto operator<=>(const agent_hello&) const = default;
+};
+
+}  // namespace jayrill
+
+#endif  // JAYRILL_ENTRY_AGENT_HELLO_H_
--- /dev/null
+++ b/src/jayrill/entry/agent_server.cc
@@ -0,0 +1,246 @@
+#include "jayrill/entry/agent_server.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "jayrill/config/config_codec.h"
+#include "jayrill/entry/heartbeat.h"
+#include "jayrill/rpc/codec.h"
+
+namespace jayrill {
+
+namespace {
+
+/// Connections of agents, the ones that have not introduced themselves
+/// included. The design size has 750 agents, and each may have an old
+/// connection that is not closed yet.
+constexpr std::size_t kMaxConnections = 2000;
+
+kj::Duration ToKj(steady_duration duration) {
+  return std::chrono::duration_cast<std::chrono::microseconds>(duration)
+             .count() *
+         kj::MICROSECONDS;
+}
+
+}  // namespace
+
+agent_server::agent_server(const dispatch_settings& settings,
+                           std::unique_ptr<placement_strategy> strategy,
+                           const clock& time,
+                           kj::Timer& timer,
+                           decided_callback decided,
+                           config_callback newer_config)
+    : settings_(settings),
+      time_(time),
+      timer_(timer),
+      decided_(std::move(decided)),
+      newer_config_(std::move(newer_config)),
+      core_(settings.data_centre, std::move(strategy), time, *this),
+      tasks_(*this) {
+  tasks_.add(TickLoop());
+}
+
+agent_server::~agent_server() noexcept {
+  stopping_ = true;
+}
+
+void agent_server::Serve(kj::Own<kj::ConnectionReceiver> receiver) {
+  receiver_ = kj::mv(receiver);
+  tasks_.add(AcceptLoop(*receiver_));
+}
+
+kj::Promise<void> agent_server::AcceptLoop(kj::ConnectionReceiver& receiver) {
+  return receiver.accept().then(
+      [this, &receiver](kj::Own<kj::AsyncIoStream>&& stream) {
+        Accept(kj::mv(stream));
+        return AcceptLoop(receiver);
+      },
+      [this, &receiver](kj::Exception&& exception) {
+        // For example out of file descriptors; accepting at once again would
+        // only repeat it.
+        LOG(ERROR) << "rpc: accept failed: "
+                   << exception.getDescription().cStr();
+        return timer_.afterDelay(100 * kj::MILLISECONDS)
+            .then([this, &receiver]() { return AcceptLoop(receiver); });
+      });
+}
+
+void agent_server::Accept(kj::Own<kj::AsyncIoStream> stream) {
+  if (connections_.size() >= kMaxConnections) {
+    LOG(WARNING) << "rpc: a connection was refused; " << kMaxConnections
+                 << " are open";
+    return;
+  }
+  auto connection = kj::heap<agent_connection>(*this, kj::mv(stream));
+  connections_.insert(connection.get());
+  auto ended = connection->Run(timer_);
+  tasks_.add(ended.attach(kj::mv(connection)));
+}
+
+void agent_server::Attach(agent_connection& connection) {
+  agent_connection*& current = agents_[connection.agent()];
+  if (current != nullptr) {
+    current->Drop();
+  }
+  current = &connection;
+}
+
+void agent_server::OnClosed(agent_connection& connection) {
+  connections_.erase(&connection);
+  if (!connection.is_agent() || stopping_) {
+    return;
+  }
+  const auto found = agents_.find(connection.agent());
+  if (found != agents_.end() && found->second == &connection) {
+    agents_.erase(found);
+  }
+  core_.OnDisconnect(connection.agent(), connection.id());
+  ScheduleFlush();
+}
+
+void agent_server::ScheduleFlush() {
+  if (flush_scheduled_) {
+    return;
+  }
+  flush_scheduled_ = true;
+  tasks_.add(kj::evalLast([this]() {
+    flush_scheduled_ = false;
+    core_.Flush();
+    ArmDeadline();
+  }));
+}
+
+kj::Promise<void> agent_server::TickLoop() {
+  return timer_.afterDelay(ToKj(kDispatchTick)).then([this]() {
+    core_.Tick();
+    SendHeartbeats();
+    ScheduleFlush();
+    return TickLoop();
+  });
+}
+
+void agent_server::ArmDeadline() {
+  const auto next = core_.NextDeadline();
+  if (!next || next == armed_deadline_) {
+    return;
+  }
+  armed_deadline_ = next;
+  const steady_duration left =
+      std::max(*next - time_.Now(), steady_duration::zero());
+  // Assigning drops the timer of the earlier deadline.
+  deadline_timer_ = timer_.afterDelay(ToKj(left))
+                        .then([this]() { ScheduleFlush(); })
+                        .eagerlyEvaluate(nullptr);
+}
+
+void agent_server::SendHeartbeats() {
+  const auto interval = HeartbeatInterval(core_.open_sessions());
+  const steady_time now = time_.Now();
+  for (const auto& [agent, connection] : agents_) {
+    if (now - connection->last_sent() >= interval) {
+      SendHeartbeat(*connection);
+    }
+  }
+}
+
+void agent_server::SendHeartbeat(agent_connection& connection) {
+  ++core_.counters().messages_out;
+  connection.SendHeartbeat(entries_);
+}
+
+void agent_server::SetEntries(std::vector<std::string> entries) {
+  if (entries == entries_) {
+    return;
+  }
+  entries_ = std::move(entries);
+  for (const auto& [agent, connection] : agents_) {
+    SendHeartbeat(*connection);
+  }
+}
+
+void agent_server::OnAgentConfig(wire::Config::Reader config) {
+  const config_revision revision{config.getRevision()};
+  const config_revision own =
+      core_.config() ? core_.config()->revision : config_revision{};
+  if (revision <= own) {
+    return;
+  }
+  auto decoded = DecodeConfig(ToString(config.getJson()));
+  if (!decoded || decoded->revision != revision) {
+    LOG(ERROR) << "rpc: an agent has sent a configuration that cannot be read";
+    return;
+  }
+  core_.OnAgentConfig(
+      std::make_shared<const cluster_config>(std::move(*decoded)));
+  ScheduleFlush();
+}
+
+void agent_server::OnConfigAcknowledged(const agent_connection& connection,
+                                        std::uint64_t push,
+                                        config_revision revision) {
+  core_.OnConfigAcknowledged(connection.agent(), push, revision);
+  ScheduleFlush();
+}
+
+const std::string& agent_server::EncodedConfig(const cluster_config& config) {
+  if (encoded_revision_ != config.revision) {
+    encoded_config_ = EncodeConfig(config, audit_trail::kOmitted);
+    encoded_revision_ = config.revision;
+  }
+  return encoded_config_;
+}
+
+void agent_server::WriteConfig(wire::Config::Builder wire) {
+  if (const shared_config config = core_.config()) {
+    wire.setRevision(config->revision.value);
+    wire.setJson(ToData(EncodedConfig(*config)));
+  }
+}
+
+agent_connection* agent_server::Find(agent_handle agent) {
+  const auto found = agents_.find(agent);
+  return found == agents_.end() ? nullptr : found->second;
+}
+
+void agent_server::SendStarts(agent_handle agent, start_batch batch) {
+  if (agent_connection* const connection = Find(agent)) {
+    connection->SendStarts(std::move(batch));
+  }
+}
+
+void agent_server::SendCancel(agent_handle agent,
+                              std::vector<start_number> numbers) {
+  if (agent_connection* const connection = Find(agent)) {
+    connection->SendCancel(numbers);
+  }
+}
+
+void agent_server::PushConfig(agent_handle agent,
+                              shared_config config,
+                              std::uint64_t push) {
+  if (agent_connection* const connection = Find(agent)) {
+    connection->SendConfig(config->revision, EncodedConfig(*config), push);
+  }
+}
+
+void agent_server::Disconnect(agent_handle agent) {
+  if (agent_connection* const connection = Find(agent)) {
+    connection->Drop();
+  }
+}
+
+void agent_server::JobDecided(job_id job, job_outcome outcome) {
+  decided_(job, std::move(outcome));
+}
+
+void agent_server::NewerConfig(shared_config config) {
+  newer_config_(std::move(config));
+}
+
+void agent_server::taskFailed(kj::Exception&& exception) {
+  LOG(WARNING) << "rpc: " << exception.getDescription().cStr();
+}
+
+}  // namespace jayrill
--- /dev/null
+++ b/src/jayrill/entry/agent_session.cc
@@ -0,0 +1,246 @@
+#include "jayrill/entry/agent_session.h"
+
+#include <algorithm>
+
+#include "jayrill/placement/slow_start.h"
+
+namespace jayrill {
+
+namespace {
+
+/// Time without starts for a minion that has refused one. Its announcement
+/// expires after 3 s; the refusals until then would use up the retries.
+constexpr std::chrono::milliseconds kAvoidTime{1000};
+
+/// Time without starts for an agent whose queue was full.
+constexpr std::chrono::milliseconds kQueueFullTime{50};
+
+/// Most slots that a minion is believed to have, whatever it announces.
+constexpr std::uint32_t kMaxSlots = 4096;
+
+/// A late task is assumed to need this part of its expected time again.
+constexpr double kOverdueFraction = 0.25;
+
+}  // namespace
+
+std::optional<agent_session::connect_effect> agent_session::Connect(
+    const agent_hello& hello,
+    connection_id connection,
+    steady_time now,
+    bool ramp) {
+  if (hello.epoch.value == 0) {
+    return std::nullopt;
+  }
+  connect_effect effect;
+  const bool replaced = hello_.process != hello.process;
+  if (replaced) {
+    effect.lost = Close();
+    window_ = start_window();
+    health_ = minion_health();
+  }
+  // Numbers are never used twice with one incarnation of the agent, even when
+  // this entry has forgotten the session.
+  window_.ContinueAfter(hello.last_accepted);
+  auto fenced = window_.Resume(hello.epoch, hello.last_accepted);
+  if (!fenced) {
+    return std::nullopt;
+  }
+  effect.fenced = std::move(*fenced);
+  effect.resumed = open_;
+  expected_ends_.erase(expected_ends_.upper_bound(hello.last_accepted),
+                       expected_ends_.end());
+  if (!open_) {
+    joined_ = ramp ? now : now - kSlowStartTime;
+    avoid_until_ = now;
+  }
+  const minion_status before = hello_.status;
+  const bool was_open = open_;
+  hello_ = hello;
+  hello_.status = was_open ? before : hello.status;
+  connection_ = connection;
+  open_ = true;
+  connected_ = true;
+  last_heard_ = now;
+  expected_push_ = 0;
+  SetStatus(hello.status, now);
+  return effect;
+}
+
+bool agent_session::Disconnect(connection_id connection, steady_time since) {
+  if (!connected_ || connection != connection_) {
+    return false;
+  }
+  connected_ = false;
+  disconnected_since_ = since;
+  return true;
+}
+
+std::vector<agent_session::task_ref> agent_session::Close() {
+  open_ = false;
+  connected_ = false;
+  expected_ends_.clear();
+  other_load_ = 0;
+  return window_.Close();
+}
+
+bool agent_session::Heard(connection_id connection, steady_time now) {
+  if (!connected_ || connection != connection_) {
+    return false;
+  }
+  last_heard_ = now;
+  return true;
+}
+
+void agent_session::SetStatus(const minion_status& status, steady_time now) {
+  const minion_status& before = hello_.status;
+  const bool returned = (before.draining && !status.draining) ||
+                        (before.service != status.service);
+  if (returned) {
+    joined_ = now;
+    avoid_until_ = now;
+  }
+  // A configuration that was acknowledged may overtake an older report.
+  const config_revision revision = std::max(before.revision, status.revision);
+  hello_.status = status;
+  hello_.status.revision = revision;
+  hello_.status.slots = std::min(status.slots, kMaxSlots);
+  const std::uint64_t held = std::uint64_t{status.busy} + status.queued;
+  const std::uint64_t own = window_.outstanding();
+  other_load_ = static_cast<std::uint32_t>(
+      std::min<std::uint64_t>(held > own ? held - own : 0, 1U << 30U));
+  reported_free_ = now + status.expected_free;
+}
+
+void agent_session::ApplyConfig(const cluster_config& config, steady_time now) {
+  const bool in_service = !config.IsOut(hello_.data_centre);
+  if (in_service && !in_service_) {
+    joined_ = now;
+  }
+  in_service_ = in_service;
+}
+
+start_number agent_session::Send(task_ref task,
+                                 steady_time now,
+                                 std::chrono::microseconds run_time) {
+  const start_number number = window_.Add(task);
+  const std::chrono::duration<double, std::micro> expected =
+      run_time * slowness_;
+  expected_ends_.emplace_hint(
+      expected_ends_.end(), number,
+      now + std::chrono::duration_cast<steady_duration>(expected));
+  health_.OnStart(now);
+  return number;
+}
+
+std::optional<agent_session::task_ref> agent_session::Take(
+    start_number number) {
+  expected_ends_.erase(number);
+  return window_.Take(number);
+}
+
+void agent_session::OnOutcome(const task_result& result, steady_time now) {
+  if (result.outcome != task_outcome::kNotRun) {
+    health_.OnResult(result.outcome == task_outcome::kSucceeded, now);
+    return;
+  }
+  health_.OnNotRun();
+  switch (result.reason) {
+    case not_run_reason::kDataCentreOut:
+    case not_run_reason::kDraining:
+    case not_run_reason::kNoMinion:
+    case not_run_reason::kPaused:
+    case not_run_reason::kConnectionRefused:
+    case not_run_reason::kWrongService:
+    case not_run_reason::kStaleConfig:
+      avoid_until_ = now + kAvoidTime;
+      break;
+    case not_run_reason::kQueueFull:
+      avoid_until_ = now + kQueueFullTime;
+      break;
+    case not_run_reason::kNone:
+    case not_run_reason::kExpired:
+    case not_run_reason::kCancelled:
+      break;
+  }
+}
+
+void agent_session::OnPause(steady_time now) {
+  last_heard_ = now;
+  disconnected_since_ = now;
+}
+
+bool agent_session::IsUsable(config_revision revision, steady_time now) const {
+  return connected_ && in_service_ && expected_push_ == 0 &&
+         !hello_.status.draining && hello_.status.slots > 0 &&
+         hello_.status.revision <= revision && now >= avoid_until_ &&
+         health_.Permission(now) != minion_health::permission::kClosed;
+}
+
+minion_view agent_session::View(steady_time now,
+                                std::uint32_t lookahead) const {
+  minion_view view;
+  view.id = handle_.value;
+  view.slots = hello_.status.slots;
+  view.outstanding = static_cast<std::uint32_t>(window_.outstanding());
+  view.other_load = other_load_;
+  view.slowness = slowness_;
+  switch (health_.Permission(now)) {
+    case minion_health::permission::kOpen: {
+      const std::uint32_t limit = SlowStartLimit(joined_, now, view.slots);
+      view.start_limit = limit < view.slots ? limit : view.slots + lookahead;
+      break;
+    }
+    case minion_health::permission::kTrial:
+      view.start_limit = view.outstanding + 1;
+      break;
+    case minion_health::permission::kClosed:
+      break;
+  }
+  if (view.Load() >= view.slots) {
+    view.expected_free = ExpectedFree(now);
+  }
+  return view;
+}
+
+std::chrono::microseconds agent_session::ExpectedFree(steady_time now) const {
+  using std::chrono::microseconds;
+  const auto reported =
+      std::chrono::duration_cast<microseconds>(reported_free_ - now);
+  std::optional<microseconds> earliest;
+  if (other_load_ > 0 && reported.count() > 0) {
+    earliest = reported;
+  }
+  for (const auto& [number, end] : expected_ends_) {
+    auto left = std::chrono::duration_cast<microseconds>(end - now);
+    if (left.count() < 0) {
+      left = microseconds(static_cast<std::int64_t>(
+          static_cast<double>(-left.count()) * kOverdueFraction));
+    }
+    earliest = earliest ? std::min(*earliest, left) : left;
+  }
+  return earliest.value_or(microseconds{0});
+}
+
+void agent_session::OnAcknowledgement(std::uint64_t push,
+                                      config_revision revision) {
+  hello_.status.revision = std::max(hello_.status.revision, revision);
+  if (push >= expected_push_) {
+    expected_push_ = 0;
+  }
+}
+
+agent_info agent_session::Info(steady_time now) const {
+  agent_info info;
+  info.id = agent_id_;
+  info.data_centre = hello_.data_centre;
+  info.worker = hello_.worker;
+  info.rack = hello_.rack;
+  info.connected = connected_;
+  info.silent_for =
+      std::chrono::duration_cast<std::chrono::milliseconds>(now - last_heard_);
+  info.status = hello_.status;
+  info.outstanding = static_cast<std::uint32_t>(window_.outstanding());
+  return info;
+}
+
+}  // namespace jayrill
--- /dev/null
+++ b/src/jayrill/entry/agent_session.h
@@ -0,0 +1,132 @@
+#ifndef JAYRILL_ENTRY_AGENT_SESSION_H_
+#define JAYRILL_ENTRY_AGENT_SESSION_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "jayrill/base/clock.h"
+#include "jayrill/config/cluster_config.h"
+#include "jayrill/entry/agent_hello.h"
+#include "jayrill/entry/dispatch_port.h"
+#include "jayrill/placement/minion_health.h"
+#include "jayrill/placement/minion_view.h"
+#include "jayrill/session/start_window.h"
+
+namespace jayrill {
+
+/// The entry's session with one agent, and its knowledge of the minion.
+class agent_session {
+ public:
+  using task_ref = start_window::task_ref;
+
+  /// What a new connection means for the starts sent before.
+  struct connect_effect {
+    bool resumed = false;
+    std::vector<task_ref> fenced;  ///< Did not run and will not.
+    std::vector<task_ref> lost;    ///< May have run.
+  };
+
+  agent_session(agent_handle handle, std::string agent_id)
+      : handle_(handle), agent_id_(std::move(agent_id)) {}
+
+  /// Opens or resumes the session on \p connection. \p ramp: a minion that
+  /// joins gets a slow start.
+  /// \returns nothing when the epoch is not newer than the current one.
+  std::optional<connect_effect> Connect(const agent_hello& hello,
+                                        connection_id connection,
+                                        steady_time now,
+                                        bool ramp);
+
+  /// Notes the end of \p connection; earlier ones are ignored.
+  /// \returns true when the current connection has ended.
+  bool Disconnect(connection_id connection, steady_time since);
+
+  /// Ends the session.
+  /// \returns the tasks that may have run.
+  std::vector<task_ref> Close();
+
+  /// Notes a message on \p connection.
+  /// \returns false when the connection is not the current one.
+  bool Heard(connection_id connection, steady_time now);
+
+  void SetStatus(const minion_status& status, steady_time now);
+
+  /// Notes whether the agent's data centre is in service under \p config.
+  void ApplyConfig(const cluster_config& config, steady_time now);
+
+  /// Notes that a start of \p task is sent.
+  start_number Send(task_ref task,
+                    steady_time now,
+                    std::chrono::microseconds run_time);
+
+  /// Takes out the start that a result is for.
+  std::optional<task_ref> Take(start_number number);
+
+  /// Notes a result; it moves the circuit breaker.
+  void OnOutcome(const task_result& result, steady_time now);
+
+  /// The process was stopped, so silence until \p now proves nothing.
+  void OnPause(steady_time now);
+
+  /// \returns true when the minion may get starts at all under the revision
+  /// of this entry.
+  bool IsUsable(config_revision revision, steady_time now) const;
+
+  /// \returns the minion as the placement strategies see it.
+  minion_view View(steady_time now, std::uint32_t lookahead) const;
+
+  agent_info Info(steady_time now) const;
+
+  agent_handle handle() const { return handle_; }
+  const std::string& agent_id() const { return agent_id_; }
+  const agent_hello& hello() const { return hello_; }
+  const minion_status& status() const { return hello_.status; }
+  connection_id connection() const { return connection_; }
+  connection_epoch epoch() const { return window_.epoch(); }
+  bool connected() const { return connected_; }
+  bool open() const { return open_; }
+  bool in_service() const { return in_service_; }
+  std::size_t outstanding() const { return window_.outstanding(); }
+  steady_time last_heard() const { return last_heard_; }
+  steady_time disconnected_since() const { return disconnected_since_; }
+
+  double slowness() const { return slowness_; }
+  void set_slowness(double slowness) { slowness_ = slowness; }
+
+  /// After a pause of the entry, the agent gets starts only when it has
+  /// acknowledged a configuration sent later than the pause.
+  void ExpectAcknowledgement(std::uint64_t push) { expected_push_ = push; }
+  void OnAcknowledgement(std::uint64_t push, config_revision revision);
+  void ConfirmConfig() { expected_push_ = 0; }
+
+ private:
+  std::chrono::microseconds ExpectedFree(steady_time now) const;
+
+  agent_handle handle_;
+  std::string agent_id_;
+  agent_hello hello_;
+  start_window window_;
+  connection_id connection_;
+  std::map<start_number, steady_time> expected_ends_;
+  minion_health health_;
+  bool open_ = false;
+  bool connected_ = false;
+  bool in_service_ = true;
+  double slowness_ = 1.0;
+  std::uint32_t other_load_ = 0;
+  std::uint64_t expected_push_ = 0;
+  steady_time joined_;
+  steady_time last_heard_;
+  steady_time disconnected_since_;
+  steady_time avoid_until_;
+  steady_time reported_free_;
+};
+
+}  // namespace jayrill
+
+#endif  // JAYRILL_ENTRY_AGENT_SESSION_H_
--- /dev/null
+++ b/src/jayrill/entry/dispatch_counters.h
@@ -0,0 +1,36 @@
+#ifndef JAYRILL_ENTRY_DISPATCH_COUNTERS_H_
+#define JAYRILL_ENTRY_DISPATCH_COUNTERS_H_
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace jayrill {
+
+/// What the dispatcher of an entry has done since its start.
+///
+/// A message is one start, result, cancelled start, configuration, heartbeat
+/// or report without results, however many of them share a packet.
+struct dispatch_counters {
+  std::uint64_t jobs_submitted = 0;
+  std::uint64_t jobs_completed = 0;
+  std::uint64_t jobs_failed = 0;  ///< Refusals included.
+  std::uint64_t starts = 0;
+  std::uint64_t results = 0;
+  std::uint64_t retries = 0;
+  std::uint64_t messages_in = 0;
+  std::uint64_t messages_out = 0;
+  /// Starts that did not run, and results that were dropped.
+  std::uint64_t wasted_messages = 0;
+  std::uint64_t dropped_results = 0;
+  std::uint64_t sessions_lost = 0;
+  std::uint64_t pauses = 0;
+  std::map<std::string, std::uint64_t> failures;  ///< By code.
+
+  auto operator<=>(const dispatch_counters&) const = default;
+};
+
+}  // namespace jayrill
+
+#endif  // JAYRILL_ENTRY_DISPATCH_COUNTERS_H_
--- /dev/null
+++ b/src/jayrill/entry/dispatch_output.h
@@ -0,0 +1,52 @@
+#ifndef JAYRILL_ENTRY_DISPATCH_OUTPUT_H_
+#define JAYRILL_ENTRY_DISPATCH_OUTPUT_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "jayrill/entry/agent_hello.h"
+#include "jayrill/entry/dispatch_port.h"
+#include "jayrill/job/start_order.h"
+
+namespace jayrill {
+
+/// Starts for one agent, which were placed under one configuration.
+struct start_batch {
+  config_revision revision;
+  connection_epoch epoch;
+  std::vector<start_order> starts;
+};
+
+/// What the dispatcher sends; implemented over RPC and by the fakes of tests.
+///
+/// The functions must not call the dispatcher back before they return.
+class dispatch_output {
+ public:
+  virtual ~dispatch_output() = default;
+
+  /// Sends \p batch after everything that was sent to \p agent before.
+  virtual void SendStarts(agent_handle agent, start_batch batch) = 0;
+
+  /// Withdraws starts that still wait at \p agent.
+  virtual void SendCancel(agent_handle agent,
+                          std::vector<start_number> numbers) = 0;
+
+  /// Sends \p config. The answer of the agent goes to
+  /// dispatcher::OnConfigAcknowledged with the same \p push.
+  virtual void PushConfig(agent_handle agent,
+                          shared_config config,
+                          std::uint64_t push) = 0;
+
+  /// Drops the connection of an agent that has become silent.
+  virtual void Disconnect(agent_handle agent) = 0;
+
+  /// Tells the outcome of a submitted job, once.
+  virtual void JobDecided(job_id job, job_outcome outcome) = 0;
+
+  /// An agent has handed over a newer configuration, which is now in force.
+  virtual void NewerConfig(shared_config config) = 0;
+};
+
+}  // namespace jayrill
+
+#endif  // JAYRILL_ENTRY_DISPATCH_OUTPUT_H_
--- a/src/jayrill/entry/dispatch_port.h
+++ b/src/jayrill/entry/dispatch_port.h
@@ -11,6 +11,7 @@
 #include "jayrill/base/clock.h"
 #include "jayrill/base/ids.h"
 #include "jayrill/config/cluster_config.h"
+#include "jayrill/entry/dispatch_counters.h"
 #include "jayrill/job/job_outcome.h"
 #include "jayrill/job/job_spec.h"
 #include "jayrill/job/task_result.h"
@@ -39,11 +40,13 @@
   config_revision revision;  ///< In force at this entry.
   bool isolated = false;
   bool draining = false;
-  std::uint64_t jobs = 0;           ///< Admitted and not decided.
-  std::uint64_t waiting_tasks = 0;  ///< In the entry's queue.
-  std::uint64_t outstanding = 0;    ///< Sent to agents.
+  bool ready = false;      ///< Has a configuration and has waited for agents.
+  std::uint64_t jobs = 0;  ///< Admitted and not decided.
+  std::uint64_t waiting_tasks = 0;                   ///< In the entry's queue.
+  std::uint64_t outstanding = 0;                     ///< Sent to agents.
   std::map<std::string, std::uint32_t> team_demand;  ///< Waiting and sent.
   std::vector<agent_info> agents;
+  dispatch_counters counters;
 
   auto operator<=>(const dispatch_status&) const = default;
 };
--- /dev/null
+++ b/src/jayrill/entry/dispatch_service.h
@@ -0,0 +1,79 @@
+#ifndef JAYRILL_ENTRY_DISPATCH_SERVICE_H_
+#define JAYRILL_ENTRY_DISPATCH_SERVICE_H_
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <future>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <unordered_map>
+#include <vector>
+
+#include "jayrill/base/clock.h"
+#include "jayrill/base/error.h"
+#include "jayrill/base/work_queue.h"
+#include "jayrill/entry/dispatch_port.h"
+#include "jayrill/entry/dispatch_settings.h"
+
+namespace jayrill {
+
+class agent_server;
+class placement_strategy;
+
+/// The dispatcher side of an entry on its own thread.
+class dispatch_service final : public dispatch_port {
+ public:
+  /// \p time must outlive the service.
+  dispatch_service(dispatch_settings settings, const clock& time);
+  ~dispatch_service() override;
+  dispatch_service(const dispatch_service&) = delete;
+  dispatch_service& operator=(const dispatch_service&) = delete;
+
+  /// Starts the thread and listens for agents. Called at most once.
+  /// \returns the port that agents connect to.
+  result<std::uint16_t> Start();
+
+  /// Stops the thread. Jobs that are not decided fail as may_have_run; a
+  /// graceful stop calls Drain first.
+  void Stop();
+
+  // dispatch_port
+  void Submit(job_id id, job_spec spec, outcome_callback done) override;
+  void Cancel(job_id id) override;
+  void OfferConfig(shared_config config) override;
+  void ConfirmConfig() override;
+  void SetEntryAddresses(std::vector<std::string> addresses) override;
+  void SetTeamShares(std::map<std::string, double> shares) override;
+  void OnNewerConfig(std::function<void(shared_config)> listener) override;
+  void GetStatus(std::function<void(dispatch_status)> done) override;
+  void Drain(std::function<void()> drained) override;
+
+ private:
+  using start_promise = std::promise<result<std::uint16_t>>;
+
+  void Run(std::unique_ptr<placement_strategy> strategy,
+           start_promise& started);
+  void Serve(std::unique_ptr<placement_strategy> strategy,
+             start_promise& started,
+             bool& has_started);
+  void FailUndecided();
+  void Decided(job_id id, job_outcome outcome);
+
+  dispatch_settings settings_;
+  const clock& time_;
+  work_queue queue_;
+  std::thread thread_;
+  std::atomic<bool> stopping_ = false;
+
+  // Owned by the dispatcher thread.
+  agent_server* server_ = nullptr;
+  std::unordered_map<job_id, outcome_callback> callbacks_;
+  std::function<void(shared_config)> newer_config_;
+};
+
+}  // namespace jayrill
+
+#endif  // JAYRILL_ENTRY_DISPATCH_SERVICE_H_
--- /dev/null
+++ b/src/jayrill/entry/dispatcher.cc
@@ -0,0 +1,165 @@
+#include "jayrill/entry/dispatcher.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jayrill {
+
+dispatcher::dispatcher(std::string data_centre,
+                       std::unique_ptr<placement_strategy> strategy,
+                       const clock& time,
+                       dispatch_output& output)
+    : time_(time),
+      output_(output),
+      started_(time.Now()),
+      placer_(std::move(strategy)),
+      trust_(std::move(data_centre), started_),
+      pause_(time) {}
+
+void dispatcher::OfferConfig(shared_config config) {
+  BeginEvent();
+  if (config && (!config_ || config->revision > config_->revision)) {
+    ApplyConfig(std::move(config));
+  }
+}
+
+void dispatcher::OnAgentConfig(shared_config config) {
+  BeginEvent();
+  if (config && (!config_ || config->revision > config_->revision)) {
+    output_.NewerConfig(config);
+    ApplyConfig(std::move(config));
+  }
+}
+
+void dispatcher::ApplyConfig(shared_config config) {
+  config_ = std::move(config);
+  const steady_time now = time_.Now();
+  for (const auto& [handle, session] : agents_.sessions()) {
+    session->ApplyConfig(*config_, now);
+    if (session->connected() &&
+        session->status().revision < config_->revision) {
+      Push(*session);
+    }
+  }
+  for (auto& [service, pool] : agents_.pools()) {
+    pool.set_needs_pass(true);
+  }
+}
+
+void dispatcher::Push(agent_session& session) {
+  ++counters_.messages_out;
+  output_.PushConfig(session.handle(), config_, ++last_push_);
+}
+
+void dispatcher::ConfirmConfig() {
+  BeginEvent();
+  trust_.OnStoreContact(time_.Now());
+  for (const auto& [handle, session] : agents_.sessions()) {
+    session->ConfirmConfig();
+  }
+}
+
+void dispatcher::OnConfigAcknowledged(agent_handle agent,
+                                      std::uint64_t push,
+                                      config_revision revision) {
+  BeginEvent();
+  if (agent_session* const session = agents_.Find(agent)) {
+    session->OnAcknowledgement(push, revision);
+    agents_.UpdatePool(*session);
+  }
+}
+
+void dispatcher::SetTeamShares(const std::map<std::string, double>& shares) {
+  for (const auto& [team, share] : shares) {
+    teams_.SetShare(team, std::clamp(share, 0.0, 1.0));
+  }
+}
+
+result<dispatcher::connect_reply> dispatcher::Connect(
+    const agent_hello& hello) {
+  BeginEvent();
+  if (hello.agent_id.empty()) {
+    return MakeError(error_kind::kInvalidArgument, "the agent has no id",
+                     "set the id of the agent");
+  }
+  const steady_time now = time_.Now();
+  agent_session& session = agents_.Add(hello.agent_id);
+  const connection_id connection{++last_connection_};
+  // Agents that were there before the entry are not new to their work.
+  const bool ramp = now - started_ > kAgentSettle;
+  const auto effect = session.Connect(hello, connection, now, ramp);
+  if (!effect) {
+    return MakeError(
+        error_kind::kConflict,
+        "a newer connection of agent '" + hello.agent_id + "' is open",
+        "connect with a higher epoch");
+  }
+  EndAll(session, effect->lost, task_outcome::kUnknown, "the agent restarted");
+  EndAll(session, effect->fenced, task_outcome::kNotRun,
+         "the connection to the agent was cut");
+  if (config_) {
+    session.ApplyConfig(*config_, now);
+  }
+  session.set_slowness(speeds_.Slowness(session.handle().value));
+  trust_.OnAgentContact(hello.data_centre, now);
+  agents_.UpdatePool(session);
+  return connect_reply{session.handle(), connection, effect->resumed};
+}
+
+void dispatcher::OnDisconnect(agent_handle agent, connection_id connection) {
+  BeginEvent();
+  if (agent_session* const session = agents_.Find(agent)) {
+    session->Disconnect(connection, time_.Now());
+  }
+}
+
+bool dispatcher::OnReport(agent_handle agent,
+                          connection_id connection,
+                          const std::vector<task_result>& results,
+                          const minion_status& status) {
+  BeginEvent();
+  const steady_time now = time_.Now();
+  counters_.messages_in += std::max<std::size_t>(results.size(), 1);
+  agent_session* const session = agents_.Find(agent);
+  if (session == nullptr || !session->Heard(connection, now)) {
+    return false;
+  }
+  trust_.OnAgentContact(session->hello().data_centre, now);
+  for (const task_result& result : results) {
+    OnResult(*session, result);
+  }
+  session->SetStatus(status, now);
+  agents_.UpdatePool(*session);
+  return true;
+}
+
+void dispatcher::OnGoodbye(agent_handle agent, connection_id connection) {
+  BeginEvent();
+  agent_session* const session = agents_.Find(agent);
+  if (session != nullptr && session->Heard(connection, time_.Now())) {
+    LoseSession(*session, "the agent has stopped");
+  }
+}
+
+dispatch_status dispatcher::Status() {
+  dispatch_status status;
+  status.revision = config_ ? config_->revision : config_revision{};
+  status.isolated = IsIsolated();
+  status.draining = draining_;
+  status.ready = config_ != nullptr && IsSettled();
+  status.jobs = jobs_.undecided();
+  for (const auto& [service, pool] : agents_.pools()) {
+    status.waiting_tasks += pool.waiting();
+  }
+  status.team_demand = jobs_.TeamDemand();
+  for (const auto& [handle, session] : agents_.sessions()) {
+    if (session->open()) {
+      status.agents.push_back(session->Info(time_.Now()));
+      status.outstanding += session->outstanding();
+    }
+  }
+  status.counters = counters_;
+  return status;
+}
+
+}  // namespace jayrill
--- /dev/null
+++ b/src/jayrill/entry/dispatcher_jobs.cc
@@ -0,0 +1,187 @@
+#include <algorithm>
+#include <utility>
+
+#include "jayrill/entry/admission.h"
+#include "jayrill/entry/dispatcher.h"
+
+namespace jayrill {
+
+namespace {
+
+/// Part of a run time that a task is assumed to need at least. A learned time
+/// is a mean, and declared times are wrong by up to ten times; a job is refused
+/// only when it is hopeless.
+constexpr double kLearnedPart = 0.7;
+constexpr double kDeclaredPart = 0.1;
+
+std::chrono::microseconds Scale(std::chrono::microseconds time, double factor) {
+  return std::chrono::microseconds(
+      static_cast<std::int64_t>(static_cast<double>(time.count()) * factor));
+}
+
+}  // namespace
+
+void dispatcher::Submit(job_id id, job_spec spec) {
+  BeginEvent();
+  ++counters_.jobs_submitted;
+  if (const auto reason = Admit(spec)) {
+    Refuse(id, *reason);
+    return;
+  }
+  job_record* const job = jobs_.Add(id, std::move(spec), time_.Now());
+  if (job == nullptr) {
+    Refuse(id, {"duplicate_job", "the job id is in use", "use a new job id"});
+    return;
+  }
+  Enqueue(*job);
+}
+
+std::optional<refusal> dispatcher::Admit(const job_spec& spec) {
+  entry_state state;
+  state.draining = draining_;
+  state.has_config = config_ != nullptr;
+  state.isolated = IsIsolated();
+  state.payload_bytes = jobs_.payload_bytes();
+  for (const auto& [service, pool] : agents_.pools()) {
+    state.waiting_tasks += pool.waiting();
+  }
+  if (auto reason = CheckEntry(state, spec)) {
+    return reason;
+  }
+  if (auto reason = CheckLimits(config_->ProfileOf(spec.service), spec)) {
+    return reason;
+  }
+  return AdmitToService(spec);
+}
+
+std::optional<refusal> dispatcher::AdmitToService(const job_spec& spec) {
+  const steady_time now = time_.Now();
+  service_pool& pool = agents_.Pool(spec.service);
+  const auto since = pool.UpdateObstacle(*config_, now);
+  if (!IsSettled()) {
+    return std::nullopt;
+  }
+  if (since) {
+    auto reason = pool.Obstacle(*config_);
+    const bool may_pass = reason && reason->code == "no_minion";
+    return may_pass && now - *since < kNoMinionGrace ? std::nullopt : reason;
+  }
+  const profile& limits = config_->ProfileOf(spec.service);
+  finish_estimate estimate;
+  double fastest = 0;
+  for (const agent_session* minion : pool.minions()) {
+    if (service_pool::Satisfies(*minion, limits.placement) &&
+        minion->in_service() && !minion->status().draining) {
+      estimate.capacity += minion->status().slots / minion->slowness();
+      fastest = std::max(fastest, 1.0 / minion->slowness());
+    }
+  }
+  estimate.work =
+      Scale(pool.RunTimeAhead(limits.urgency),
+            pool.has_learned_times() ? kLearnedPart : kDeclaredPart);
+  for (const task_spec& task : spec.tasks) {
+    const auto bound = LowerBound(spec, task);
+    estimate.work += bound;
+    estimate.longest_task = std::max(estimate.longest_task, bound);
+  }
+  estimate.longest_task = Scale(estimate.longest_task, 1.0 / fastest);
+  return CheckDeadline(estimate, spec.deadline);
+}
+
+std::chrono::microseconds dispatcher::LowerBound(const job_spec& spec,
+                                                 const task_spec& task) const {
+  const auto expected =
+      speeds_.ExpectedRunTime(spec.service, task.kind, task.declared);
+  return Scale(expected, speeds_.Knows(spec.service, task.kind)
+                             ? kLearnedPart
+                             : kDeclaredPart);
+}
+
+void dispatcher::Enqueue(job_record& job) {
+  const auto binding = config_->services.find(job.spec.service);
+  job.profile =
+      binding == config_->services.end() ? "" : binding->second.profile;
+  job.urgency = config_->ProfileOf(job.spec.service).urgency;
+  service_pool& pool = agents_.Pool(job.spec.service);
+  for (std::uint32_t i = 0; i < job.tasks.size(); ++i) {
+    const task_spec& task = job.spec.tasks[i];
+    job.tasks[i].run_time =
+        speeds_.ExpectedRunTime(job.spec.service, task.kind, task.declared);
+    pool.Push(job.spec.team, job.Queued(i));
+  }
+}
+
+void dispatcher::Refuse(job_id id, const refusal& reason) {
+  ReportOutcome(id, MakeJobFailure(job_effect::kNotRun, reason.code,
+                                   reason.message, reason.remedy));
+}
+
+void dispatcher::Cancel(job_id id) {
+  BeginEvent();
+  FailJob(id, {"cancelled", "the caller has gone away", "submit a new job"});
+}
+
+void dispatcher::FailJob(job_id id, const refusal& reason) {
+  job_record* const job = jobs_.Find(id);
+  if (job != nullptr &&
+      job->collector.Fail(reason.code, reason.message, reason.remedy)) {
+    OnDecided(*job);
+  }
+}
+
+void dispatcher::OnDecided(job_record& job) {
+  agents_.Pool(job.spec.service).RemoveJob(job.spec.team, job.id);
+  CancelOutstanding(job);
+  const job_id id = job.id;
+  const job_outcome outcome = *job.collector.outcome();
+  jobs_.MarkDecided(job);
+  jobs_.RemoveIfEnded(job);
+  ReportOutcome(id, outcome);
+  CheckDrained();
+}
+
+void dispatcher::CancelOutstanding(job_record& job) {
+  if (job.outstanding == 0) {
+    return;
+  }
+  std::map<agent_handle, std::vector<start_number>> numbers;
+  for (const task_record& task : job.tasks) {
+    if (task.number.value != 0) {
+      numbers[task.agent].push_back(task.number);
+    }
+  }
+  for (auto& [agent, starts] : numbers) {
+    const agent_session* const session = agents_.Find(agent);
+    if (session != nullptr && session->connected()) {
+      counters_.messages_out += starts.size();
+      output_.SendCancel(agent, std::move(starts));
+    }
+  }
+}
+
+void dispatcher::ReportOutcome(job_id id, const job_outcome& outcome) {
+  if (outcome) {
+    ++counters_.jobs_completed;
+  } else {
+    ++counters_.jobs_failed;
+    ++counters_.failures[outcome.error().code];
+  }
+  output_.JobDecided(id, outcome);
+}
+
+void dispatcher::Drain(std::function<void()> drained) {
+  BeginEvent();
+  draining_ = true;
+  drained_.push_back(std::move(drained));
+  CheckDrained();
+}
+
+void dispatcher::CheckDrained() {
+  if (draining_ && jobs_.undecided() == 0) {
+    for (const auto& drained : std::exchange(drained_, {})) {
+      drained();
+    }
+  }
+}
+
+}  // namespace jayrill
--- /dev/null
+++ b/src/jayrill/entry/entry_port_server.h
@@ -0,0 +1,45 @@
+#ifndef JAYRILL_ENTRY_ENTRY_PORT_SERVER_H_
+#define JAYRILL_ENTRY_ENTRY_PORT_SERVER_H_
+
+#include "jayrill/rpc/dispatch.capnp.h"
+
+namespace jayrill {
+
+class agent_connection;
+
+// The servers of Cap'n Proto have no virtual destructor; they are destroyed
+// through the disposer of kj::Own, which knows the type.
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wnon-virtual-dtor"
+
+/// The bootstrap capability of a connection: turns it into an agent's.
+class entry_port_server final : public wire::EntryPort::Server {
+ public:
+  explicit entry_port_server(agent_connection& connection)
+      : connection_(connection) {}
+
+  kj::Promise<void> identify(IdentifyContext context) override;
+  kj::Promise<void> connect(ConnectContext context) override;
+
+ private:
+  agent_connection& connection_;
+};
+
+/// The session capability of an agent.
+class entry_session_server final : public wire::EntrySession::Server {
+ public:
+  explicit entry_session_server(agent_connection& connection)
+      : connection_(connection) {}
+
+  kj::Promise<void> report(ReportContext context) override;
+  kj::Promise<void> goodbye(GoodbyeContext context) override;
+
+ private:
+  agent_connection& connection_;
+};
+
+#pragma GCC diagnostic pop
+
+}  // namespace jayrill
+
+#endif  // JAYRILL_ENTRY_ENTRY_PORT_SERVER_H_
--- /dev/null
+++ b/src/jayrill/entry/heartbeat.h
@@ -0,0 +1,31 @@
+#ifndef JAYRILL_ENTRY_HEARTBEAT_H_
+#define JAYRILL_ENTRY_HEARTBEAT_H_
+
+#include <algorithm>
+#include <chrono>
+#include <cstddef>
+
+namespace jayrill {
+
+/// Bytes of one heartbeat exchange with an agent, and the bytes a second that
+/// a node may spend on control.
+inline constexpr std::size_t kHeartbeatBytes = 350;
+inline constexpr std::size_t kControlBytesPerSecond = 23'000;
+
+/// Intervals after which a silent agent counts as disconnected.
+inline constexpr int kSilentIntervals = 3;
+
+/// Time that a disconnected session waits for its agent.
+inline constexpr std::chrono::milliseconds kSessionLostAfter{3000};
+
+/// \returns the interval between heartbeats of an entry with \p sessions.
+inline std::chrono::milliseconds HeartbeatInterval(std::size_t sessions) {
+  const std::size_t millis =
+      sessions * kHeartbeatBytes * 1000 / kControlBytesPerSecond;
+  return std::max(std::chrono::milliseconds(1000),
+                  std::chrono::milliseconds(millis));
+}
+
+}  // namespace jayrill
+
+#endif  // JAYRILL_ENTRY_HEARTBEAT_H_
--- /dev/null
+++ b/src/jayrill/entry/job_record.h
@@ -0,0 +1,58 @@
+#ifndef JAYRILL_ENTRY_JOB_RECORD_H_
+#define JAYRILL_ENTRY_JOB_RECORD_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "jayrill/base/clock.h"
+#include "jayrill/base/ids.h"
+#include "jayrill/entry/agent_hello.h"
+#include "jayrill/job/job_collector.h"
+#include "jayrill/job/job_spec.h"
+#include "jayrill/placement/task_queue.h"
+
+namespace jayrill {
+
+/// One task of an admitted job.
+struct task_record {
+  agent_handle agent;   ///< Of the outstanding start.
+  start_number number;  ///< Of the outstanding start; 0 when there is none.
+  std::uint32_t starts = 0;
+  std::chrono::microseconds run_time{};  ///< Expected on the average minion.
+};
+
+/// An admitted job, until it is decided and its last start has ended.
+struct job_record {
+  job_record(job_id job, job_spec submitted, steady_time now)
+      : id(job),
+        spec(std::move(submitted)),
+        arrival(now),
+        deadline(now + spec.deadline),
+        collector(spec.tasks.size()),
+        tasks(spec.tasks.size()),
+        unfinished(static_cast<std::uint32_t>(spec.tasks.size())) {}
+
+  job_id id;
+  job_spec spec;
+  std::string profile;  ///< Name of the profile; counts its running tasks.
+  std::uint32_t urgency = 50;
+  steady_time arrival;
+  steady_time deadline;
+  job_collector collector;
+  std::vector<task_record> tasks;
+  std::uint32_t unfinished;       ///< Tasks without a success.
+  std::uint32_t outstanding = 0;  ///< Starts without a result.
+  bool decided = false;
+
+  /// \returns the queue entry of task \p index.
+  queued_task Queued(std::uint32_t index) const {
+    return {id, index, urgency, arrival, tasks[index].run_time};
+  }
+};
+
+}  // namespace jayrill
+
+#endif  // JAYRILL_ENTRY_JOB_RECORD_H_
--- /dev/null
+++ b/src/jayrill/entry/job_table.h
@@ -0,0 +1,53 @@
+#ifndef JAYRILL_ENTRY_JOB_TABLE_H_
+#define JAYRILL_ENTRY_JOB_TABLE_H_
+
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "jayrill/entry/job_record.h"
+
+namespace jayrill {
+
+/// The admitted jobs of an entry and their deadlines.
+class job_table {
+ public:
+  /// Adds a job. \returns the record, or null when the id is taken.
+  job_record* Add(job_id id, job_spec spec, steady_time now);
+
+  /// \returns the job, or null.
+  job_record* Find(job_id id);
+
+  /// Notes that \p job is decided and frees what only a running job needs.
+  void MarkDecided(job_record& job);
+
+  /// Removes \p job if it is decided and nothing of it is outstanding.
+  void RemoveIfEnded(const job_record& job);
+
+  /// \returns the undecided jobs whose deadline has come.
+  std::vector<job_id> Expired(steady_time now) const;
+
+  /// \returns the next deadline of an undecided job.
+  std::optional<steady_time> NextDeadline() const;
+
+  std::size_t undecided() const { return deadlines_.size(); }
+  std::size_t payload_bytes() const { return payload_bytes_; }
+
+  /// \returns the waiting and outstanding tasks of undecided jobs by team.
+  std::map<std::string, std::uint32_t> TeamDemand() const;
+
+ private:
+  std::unordered_map<job_id, std::unique_ptr<job_record>> jobs_;
+  std::set<std::pair<steady_time, job_id>> deadlines_;
+  std::size_t payload_bytes_ = 0;
+};
+
+}  // namespace jayrill
+
+#endif  // JAYRILL_ENTRY_JOB_TABLE_H_
--- /dev/null
+++ b/src/jayrill/entry/task_placer.cc
@@ -0,0 +1,108 @@
+#include "jayrill/entry/task_placer.h"
+
+#include <algorithm>
+
+namespace jayrill {
+
+namespace {
+
+/// Waiting tasks that are passed over in one pass. Each reserves a share of
+/// the minion that it waits for, so that slow free slots are used when the
+/// queue is long.
+constexpr int kMaxPassedOver = 64;
+
+}  // namespace
+
+void task_placer::Run(service_pool& pool,
+                      const cluster_config& config,
+                      steady_time now,
+                      const quota_check& may_start,
+                      const send& send_task) {
+  MakeViews(pool, config, now);
+  const bool late = !strategy_->BindsEarly();
+  if (views_.empty() || (late && !AnyCanStart())) {
+    return;
+  }
+  MakeCursors(pool, may_start);
+  int passed_over = 0;
+  while (cursor* const next = NextCursor()) {
+    const queued_task task = *next->position;
+    const auto choice = strategy_->Prefer(task.run_time, views_);
+    if (!choice) {
+      return;
+    }
+    if (!choice->start_now) {
+      Reserve(choice->index, task.run_time);
+      ++next->position;
+      if (++passed_over == kMaxPassedOver) {
+        return;
+      }
+      continue;
+    }
+    next->position = pool.Remove(*next->queue, next->position);
+    agent_session& session = *sessions_[choice->index];
+    send_task(task, session);
+    views_[choice->index] = session.View(now, kLookahead);
+    if (!may_start(*next->team)) {
+      next->position = next->queue->end();
+    }
+    if (late && !AnyCanStart()) {
+      return;
+    }
+  }
+}
+
+void task_placer::MakeViews(const service_pool& pool,
+                            const cluster_config& config,
+                            steady_time now) {
+  views_.clear();
+  sessions_.clear();
+  const profile_placement& limits = config.ProfileOf(pool.service()).placement;
+  for (agent_session* const session : pool.minions()) {
+    if (session->IsUsable(config.revision, now) &&
+        service_pool::Satisfies(*session, limits)) {
+      views_.push_back(session->View(now, kLookahead));
+      sessions_.push_back(session);
+    }
+  }
+}
+
+void task_placer::MakeCursors(service_pool& pool,
+                              const quota_check& may_start) {
+  cursors_.clear();
+  std::erase_if(pool.queues(),
+                [](const auto& entry) { return entry.second.empty(); });
+  for (auto& [team, queue] : pool.queues()) {
+    if (may_start(team)) {
+      cursors_.push_back({&team, &queue, queue.begin()});
+    }
+  }
+}
+
+bool task_placer::AnyCanStart() const {
+  return std::any_of(views_.begin(), views_.end(),
+                     [](const minion_view& view) { return view.CanStart(); });
+}
+
+task_placer::cursor* task_placer::NextCursor() {
+  cursor* best = nullptr;
+  for (cursor& candidate : cursors_) {
+    if (candidate.position != candidate.queue->end() &&
+        (best == nullptr ||
+         task_queue::StartsBefore(*candidate.position, *best->position))) {
+      best = &candidate;
+    }
+  }
+  return best;
+}
+
+void task_placer::Reserve(std::size_t index,
+                          std::chrono::microseconds run_time) {
+  minion_view& view = views_[index];
+  const double share = static_cast<double>(run_time.count()) * view.slowness /
+                       std::max<std::uint32_t>(view.slots, 1);
+  view.expected_free +=
+      std::chrono::microseconds(static_cast<std::int64_t>(share));
+}
+
+}  // namespace jayrill
--- /dev/null
+++ b/src/jayrill/entry/task_placer.h
@@ -0,0 +1,63 @@
+#ifndef JAYRILL_ENTRY_TASK_PLACER_H_
+#define JAYRILL_ENTRY_TASK_PLACER_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "jayrill/entry/service_pool.h"
+#include "jayrill/placement/minion_view.h"
+#include "jayrill/placement/placement_strategy.h"
+
+namespace jayrill {
+
+/// Binds waiting tasks of a service to minions.
+///
+/// The views of the minions are made once a pass, and a pass ends as soon as
+/// no minion can take a start, so its cost does not depend on the length of
+/// the queue.
+class task_placer {
+ public:
+  /// \returns true when \p team may have one more task running.
+  using quota_check = std::function<bool(const std::string& team)>;
+  /// Sends \p task to \p session.
+  using send = std::function<void(const queued_task& task, agent_session&)>;
+
+  explicit task_placer(std::unique_ptr<placement_strategy> strategy)
+      : strategy_(std::move(strategy)) {}
+
+  /// Places what can be placed of \p pool now.
+  void Run(service_pool& pool,
+           const cluster_config& config,
+           steady_time now,
+           const quota_check& may_start,
+           const send& send_task);
+
+ private:
+  /// Position in the queue of one team.
+  struct cursor {
+    const std::string* team = nullptr;
+    task_queue* queue = nullptr;
+    task_queue::const_iterator position;
+  };
+
+  void MakeViews(const service_pool& pool,
+                 const cluster_config& config,
+                 steady_time now);
+  void MakeCursors(service_pool& pool, const quota_check& may_start);
+  bool AnyCanStart() const;
+  cursor* NextCursor();
+  void Reserve(std::size_t index, std::chrono::microseconds run_time);
+
+  std::unique_ptr<placement_strategy> strategy_;
+  // Kept between passes for their memory only.
+  std::vector<minion_view> views_;
+  std::vector<agent_session*> sessions_;
+  std::vector<cursor> cursors_;
+};
+
+}  // namespace jayrill
+
+#endif  // JAYRILL_ENTRY_TASK_PLACER_H_
--- a/src/jayrill/placement/minion_view.h
+++ b/src/jayrill/placement/minion_view.h
@@ -7,6 +7,14 @@
 
 namespace jayrill {
 
+/// Starts that an entry sends beyond the slots of a minion, so that the next
+/// one is there when a slot becomes free.
+inline constexpr std::uint32_t kLookahead = 1;
+
+/// Longest expected wait of a start that uses the look-ahead. A task that is
+/// bound for longer could have gone to another minion meanwhile.
+inline constexpr std::chrono::microseconds kLookaheadWait{10'000};
+
 /// A minion that may run a task, as one entry sees it at one moment.
 struct minion_view {
   std::uint64_t id = 0;  ///< Chosen by the caller; stable for a minion.
@@ -29,6 +37,14 @@
   bool HasFreeSlot() const {
     return Load() < slots && outstanding < start_limit;
   }
+
+  /// \returns true when a start may be sent now: a slot is free, or one is
+  /// expected to be within kLookaheadWait and the look-ahead is not used up.
+  bool CanStart() const {
+    return outstanding < start_limit &&
+           (Load() < slots ||
+            (Load() == slots && expected_free <= kLookaheadWait));
+  }
 };
 
 }  // namespace jayrill
--- a/src/jayrill/placement/placement_strategy.cc
+++ b/src/jayrill/placement/placement_strategy.cc
@@ -15,13 +15,13 @@
  public:
   explicit random_strategy(const random_source& random) : random_(random) {}
 
-  std::optional<std::size_t> Choose(
+  std::optional<placement_choice> Prefer(
       std::chrono::microseconds /*run_time*/,
       std::span<const minion_view> minions) override {
     if (minions.empty()) {
       return std::nullopt;
     }
-    return random_.Below(minions.size());
+    return placement_choice{random_.Below(minions.size()), true};
   }
 
   bool BindsEarly() const override { return true; }
@@ -33,13 +33,13 @@
 /// Binds each task at once to the minions in turn.
 class round_robin_strategy final : public placement_strategy {
  public:
-  std::optional<std::size_t> Choose(
+  std::optional<placement_choice> Prefer(
       std::chrono::microseconds /*run_time*/,
       std::span<const minion_view> minions) override {
     if (minions.empty()) {
       return std::nullopt;
     }
-    return next_++ % minions.size();
+    return placement_choice{next_++ % minions.size(), true};
   }
 
   bool BindsEarly() const override { return true; }
@@ -54,7 +54,7 @@
   explicit least_of_two_strategy(const random_source& random)
       : random_(random) {}
 
-  std::optional<std::size_t> Choose(
+  std::optional<placement_choice> Prefer(
       std::chrono::microseconds /*run_time*/,
       std::span<const minion_view> minions) override {
     if (minions.empty()) {
@@ -62,8 +62,9 @@
     }
     const std::size_t first = random_.Below(minions.size());
     const std::size_t second = random_.Below(minions.size());
-    return RelativeLoad(minions[second]) < RelativeLoad(minions[first]) ? second
-                                                                        : first;
+    const bool second_is_less =
+        RelativeLoad(minions[second]) < RelativeLoad(minions[first]);
+    return placement_choice{second_is_less ? second : first, true};
   }
 
   bool BindsEarly() const override { return true; }
@@ -82,32 +83,37 @@
 /// slow free slot unused when a faster one is expected to finish sooner.
 class earliest_finish_strategy final : public placement_strategy {
  public:
-  std::optional<std::size_t> Choose(
+  std::optional<placement_choice> Prefer(
       std::chrono::microseconds run_time,
       std::span<const minion_view> minions) override {
-    std::optional<std::size_t> best;
+    std::optional<placement_choice> best;
     double best_finish = std::numeric_limits<double>::infinity();
-    bool best_is_free = false;
     for (std::size_t i = 0; i < minions.size(); ++i) {
       const minion_view& minion = minions[i];
-      const bool is_free = minion.HasFreeSlot();
-      if (!is_free && minion.outstanding >= minion.start_limit) {
+      if (minion.start_limit == 0) {
         continue;
       }
-      const double wait =
-          is_free ? 0.0 : static_cast<double>(minion.expected_free.count());
+      const double wait = minion.HasFreeSlot() ? 0.0 : Wait(minion);
       const double finish =
           wait + static_cast<double>(run_time.count()) * minion.slowness;
       if (finish < best_finish) {
-        best = i;
+        best = placement_choice{i, minion.CanStart()};
         best_finish = finish;
-        best_is_free = is_free;
       }
     }
-    return best_is_free ? best : std::nullopt;
+    return best;
   }
 
   bool BindsEarly() const override { return false; }
+
+ private:
+  /// A minion in slow start or trial frees no slot for this entry before a
+  /// result; its expected time is not known, so a typical one is assumed.
+  static double Wait(const minion_view& minion) {
+    constexpr double kUnknownWaitMicros = 100'000;
+    const auto expected = static_cast<double>(minion.expected_free.count());
+    return minion.Load() < minion.slots ? kUnknownWaitMicros : expected;
+  }
 };
 
 using strategy_factory =
--- a/src/jayrill/placement/placement_strategy.h
+++ b/src/jayrill/placement/placement_strategy.h
@@ -2,6 +2,7 @@
 #define JAYRILL_PLACEMENT_PLACEMENT_STRATEGY_H_
 
 #include <chrono>
+#include <compare>
 #include <cstddef>
 #include <memory>
 #include <optional>
@@ -14,6 +15,14 @@
 
 namespace jayrill {
 
+/// The minion that a task should run on.
+struct placement_choice {
+  std::size_t index = 0;   ///< In the minions that were offered.
+  bool start_now = false;  ///< False: the task should wait for it.
+
+  auto operator<=>(const placement_choice&) const = default;
+};
+
 /// Chooses the minion for the next task of the queue.
 ///
 /// Strategies differ in one more point: an early-binding strategy sends every
@@ -25,12 +34,21 @@
 
   /// \param run_time expected run time of the task on the average minion.
   /// \param minions the minions that may run it, in any order.
-  /// \returns the index in \p minions of the chosen one, or nothing when the
-  /// task should wait.
-  virtual std::optional<std::size_t> Choose(
+  /// \returns the best one, which may be one to wait for, or nothing when none
+  /// may get the task.
+  virtual std::optional<placement_choice> Prefer(
       std::chrono::microseconds run_time,
       std::span<const minion_view> minions) = 0;
 
+  /// \returns the index in \p minions of the one that Prefer chooses, or
+  /// nothing when the task should wait.
+  std::optional<std::size_t> Choose(std::chrono::microseconds run_time,
+                                    std::span<const minion_view> minions) {
+    const auto choice = Prefer(run_time, minions);
+    return choice && choice->start_now ? std::optional(choice->index)
+                                       : std::nullopt;
+  }
+
   /// \returns true when tasks must not wait in the entry's queue.
   virtual bool BindsEarly() const = 0;
 };
--- a/src/jayrill/placement/speed_model.h
+++ b/src/jayrill/placement/speed_model.h
@@ -31,6 +31,11 @@
       std::string_view kind,
       std::optional<std::chrono::milliseconds> declared) const;
 
+  /// \returns true when a task of the kind has finished.
+  bool Knows(std::string_view service, std::string_view kind) const {
+    return kinds_.contains(kind_key(service, kind));
+  }
+
   /// \returns the run time on \p minion relative to the average minion; 1 for
   /// a minion that has not run anything yet.
   double Slowness(std::uint64_t minion) const;
--- a/src/jayrill/placement/task_queue.cc
+++ b/src/jayrill/placement/task_queue.cc
@@ -1,6 +1,5 @@
 #include "jayrill/placement/task_queue.h"
 
-#include <algorithm>
 #include <cassert>
 #include <tuple>
 
@@ -30,41 +29,54 @@
 void task_queue::Push(const queued_task& task) {
   const bool added = tasks_.insert(task).second;
   assert(added && "a task waits at most once");
-  if (added) {
-    by_job_[task.job].push_back(task);
-    total_ += task.run_time;
+  if (!added) {
+    return;
+  }
+  run_time_by_urgency_[task.urgency] += task.run_time;
+  waiting_job& job = jobs_[task.job];
+  if (job.count++ == 0) {
+    job.first = task;
+    job.first.run_time = std::chrono::microseconds::max();
+    job.first.index = 0;
   }
 }
 
-const queued_task* task_queue::Front() const {
-  return tasks_.empty() ? nullptr : &*tasks_.begin();
+task_queue::const_iterator task_queue::Remove(const_iterator position) {
+  run_time_by_urgency_[position->urgency] -= position->run_time;
+  const auto job = jobs_.find(position->job);
+  if (--job->second.count == 0) {
+    jobs_.erase(job);
+  }
+  return tasks_.erase(position);
 }
 
 void task_queue::PopFront() {
   assert(!tasks_.empty() && "the queue must not be empty");
-  const queued_task task = *tasks_.begin();
-  tasks_.erase(tasks_.begin());
-  total_ -= task.run_time;
-  const auto found = by_job_.find(task.job);
-  std::erase(found->second, task);
-  if (found->second.empty()) {
-    by_job_.erase(found);
-  }
+  Remove(tasks_.begin());
 }
 
-std::vector<std::uint32_t> task_queue::RemoveJob(job_id job) {
-  std::vector<std::uint32_t> indices;
-  const auto found = by_job_.find(job);
-  if (found == by_job_.end()) {
-    return indices;
+std::size_t task_queue::RemoveJob(job_id job) {
+  const auto found = jobs_.find(job);
+  if (found == jobs_.end()) {
+    return 0;
   }
-  for (const queued_task& task : found->second) {
-    indices.push_back(task.index);
-    total_ -= task.run_time;
-    tasks_.erase(task);
+  auto position = tasks_.lower_bound(found->second.first);
+  std::size_t removed = 0;
+  while (position != tasks_.end() && position->job == job) {
+    position = Remove(position);
+    ++removed;
+  }
+  return removed;
+}
+
+std::chrono::microseconds task_queue::RunTimeAhead(
+    std::uint32_t urgency) const {
+  std::chrono::microseconds sum{};
+  for (auto it = run_time_by_urgency_.lower_bound(urgency);
+       it != run_time_by_urgency_.end(); ++it) {
+    sum += it->second;
   }
-  by_job_.erase(found);
-  return indices;
+  return sum;
 }
 
 double task_queue::Priority(const queued_task& task) {
--- a/src/jayrill/placement/task_queue.h
+++ b/src/jayrill/placement/task_queue.h
@@ -6,9 +6,8 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <set>
-#include <vector>
+#include <unordered_map>
 
 #include "jayrill/base/clock.h"
 #include "jayrill/base/ids.h"
@@ -33,21 +32,45 @@
 /// starve. Within a job the longest task goes first, because the job is as
 /// slow as its last task.
 class task_queue {
+ private:
+  struct start_order_less {
+    bool operator()(const queued_task& a, const queued_task& b) const;
+  };
+
  public:
+  using const_iterator =
+      std::set<queued_task, start_order_less>::const_iterator;
+
   void Push(const queued_task& task);
 
+  /// Removes the task at \p position.
+  /// \returns the position after it.
+  const_iterator Remove(const_iterator position);
+
   /// \returns the next task, or nothing when the queue is empty.
-  const queued_task* Front() const;
+  const queued_task* Front() const {
+    return tasks_.empty() ? nullptr : &*tasks_.begin();
+  }
 
   /// Removes the task that Front returns. The queue must not be empty.
   void PopFront();
 
-  /// Removes all tasks of \p job.
-  /// \returns their indices.
-  std::vector<std::uint32_t> RemoveJob(job_id job);
+  /// Removes all tasks of \p job. All tasks of a job have the same arrival and
+  /// urgency, so they wait next to each other.
+  /// \returns how many were removed.
+  std::size_t RemoveJob(job_id job);
 
   /// \returns the sum of the expected run times of all waiting tasks.
-  std::chrono::microseconds TotalRunTime() const { return total_; }
+  std::chrono::microseconds TotalRunTime() const { return RunTimeAhead(0); }
+
+  /// \returns the sum of the expected run times of the waiting tasks whose
+  /// urgency is at least \p urgency.
+  std::chrono::microseconds RunTimeAhead(std::uint32_t urgency) const;
+
+  /// \returns true when \p a should start before \p b.
+  static bool StartsBefore(const queued_task& a, const queued_task& b) {
+    return start_order_less()(a, b);
+  }
 
   /// \returns the value that orders the task at agents; lower runs first.
   static double Priority(const queued_task& task);
@@ -56,17 +79,19 @@
   bool empty() const { return tasks_.empty(); }
 
   /// Iterates in start order.
-  auto begin() const { return tasks_.begin(); }
-  auto end() const { return tasks_.end(); }
+  const_iterator begin() const { return tasks_.begin(); }
+  const_iterator end() const { return tasks_.end(); }
 
  private:
-  struct start_order_less {
-    bool operator()(const queued_task& a, const queued_task& b) const;
+  /// First possible task of a job in start order, and how many wait.
+  struct waiting_job {
+    queued_task first;
+    std::size_t count = 0;
   };
 
   std::set<queued_task, start_order_less> tasks_;
-  std::map<job_id, std::vector<queued_task>> by_job_;
-  std::chrono::microseconds total_{};
+  std::unordered_map<job_id, waiting_job> jobs_;
+  std::map<std::uint32_t, std::chrono::microseconds> run_time_by_urgency_;
 };
 
 }  // namespace jayrill
--- a/src/jayrill/session/start_window.cc
+++ b/src/jayrill/session/start_window.cc
@@ -1,5 +1,7 @@
 #include "jayrill/session/start_window.h"
 
+#include <algorithm>
+
 namespace jayrill {
 
 start_number start_window::Add(task_ref task) {
@@ -8,6 +10,10 @@
   return last_number_;
 }
 
+void start_window::ContinueAfter(start_number number) {
+  last_number_ = std::max(last_number_, number);
+}
+
 std::optional<start_window::task_ref> start_window::Take(start_number number) {
   const auto found = tasks_.find(number);
   if (found == tasks_.end()) {
--- a/src/jayrill/session/start_window.h
+++ b/src/jayrill/session/start_window.h
@@ -29,6 +29,10 @@
   /// Assigns the next number to \p task.
   start_number Add(task_ref task);
 
+  /// Assigns only numbers above \p number from now on. Used when the agent has
+  /// accepted starts of a session that this entry no longer knows.
+  void ContinueAfter(start_number number);
+
   /// Takes the start \p number out of the window.
   /// \returns its task, or nothing when the number is not outstanding: the
   /// result is late, doubled or foreign.
--- a/src/jayrill/store/etcd_store.cc
+++ b/src/jayrill/store/etcd_store.cc
@@ -11,12 +11,13 @@
 
 namespace {
 
+using namespace Qt::StringLiterals;
 using store_internal::call_kind;
 using store_internal::etcd_answer;
 
 result<swap_result> ReadSwap(const etcd_answer& answer) {
   swap_result swap;
-  swap.swapped = answer.json.value(QStringLiteral("succeeded")).toBool();
+  swap.swapped = answer.json.value(u"succeeded"_s).toBool();
   if (swap.swapped) {
     swap.revision = store_internal::HeaderRevision(answer.json);
     return swap;
@@ -27,13 +28,9 @@
                      "found another revision",
                      "read the key back before the call is repeated");
   }
-  const QJsonArray responses =
-      answer.json.value(QStringLiteral("responses")).toArray();
-  std::vector<store_entry> found =
-      store_internal::Entries(responses.at(0)
-                                  .toObject()
-                                  .value(QStringLiteral("response_range"))
-                                  .toObject());
+  const QJsonArray responses = answer.json.value(u"responses"_s).toArray();
+  std::vector<store_entry> found = store_internal::Entries(
+      responses.at(0).toObject().value(u"response_range"_s).toObject());
   if (!found.empty()) {
     swap.found = std::move(found.front());
   }
@@ -42,8 +39,7 @@
 
 result<std::chrono::seconds> ReadKeepAlive(const etcd_answer& answer) {
   const std::chrono::seconds ttl(store_internal::Number(
-      answer.json.value(QStringLiteral("result")).toObject(),
-      QStringLiteral("TTL")));
+      answer.json.value(u"result"_s).toObject(), u"TTL"_s));
   if (ttl.count() <= 0) {
     return MakeError(error_kind::kNotFound, "store: the lease has ended",
                      "grant a new lease");
@@ -63,23 +59,22 @@
 
 void etcd_store::Get(std::string key,
                      callback<std::optional<store_entry>> done) {
-  client_->Post(QStringLiteral("/v3/kv/range"), store_internal::RangeOfKey(key),
-                call_kind::kRead,
-                [done = std::move(done)](const result<etcd_answer>& answer) {
-                  done(answer.map([](const etcd_answer& found) {
-                    std::vector<store_entry> entries =
-                        store_internal::Entries(found.json);
-                    return entries.empty()
-                               ? std::nullopt
-                               : std::optional(std::move(entries.front()));
-                  }));
-                });
+  client_->Post(
+      u"/v3/kv/range"_s, store_internal::RangeOfKey(key), call_kind::kRead,
+      [done = std::move(done)](const result<etcd_answer>& answer) {
+        done(answer.map([](const etcd_answer& found) {
+          std::vector<store_entry> entries =
+              store_internal::Entries(found.json);
+          return entries.empty() ? std::nullopt
+                                 : std::optional(std::move(entries.front()));
+        }));
+      });
 }
 
 void etcd_store::List(std::string prefix,
                       callback<std::vector<store_entry>> done) {
-  client_->Post(QStringLiteral("/v3/kv/range"),
-                store_internal::RangeOfPrefix(prefix), call_kind::kRead,
+  client_->Post(u"/v3/kv/range"_s, store_internal::RangeOfPrefix(prefix),
+                call_kind::kRead,
                 [done = std::move(done)](const result<etcd_answer>& answer) {
                   done(answer.map([](const etcd_answer& found) {
                     return store_internal::Entries(found.json);
@@ -92,7 +87,7 @@
                                 std::optional<std::string> value,
                                 std::optional<lease_id> lease,
                                 callback<swap_result> done) {
-  client_->Post(QStringLiteral("/v3/kv/txn"),
+  client_->Post(u"/v3/kv/txn"_s,
                 store_internal::SwapRequest(key, expected, value, lease),
                 call_kind::kWrite,
                 [done = std::move(done)](const result<etcd_answer>& answer) {
@@ -101,22 +96,20 @@
 }
 
 void etcd_store::GrantLease(std::chrono::seconds ttl, callback<lease_id> done) {
-  client_->Post(QStringLiteral("/v3/lease/grant"),
-                {{QStringLiteral("TTL"), QString::number(ttl.count())}},
-                call_kind::kWrite,
-                [done = std::move(done)](const result<etcd_answer>& answer) {
-                  done(answer.map([](const etcd_answer& granted) {
-                    return lease_id{store_internal::Number(
-                        granted.json, QStringLiteral("ID"))};
-                  }));
-                });
+  client_->Post(
+      u"/v3/lease/grant"_s, {{u"TTL"_s, QString::number(ttl.count())}},
+      call_kind::kWrite,
+      [done = std::move(done)](const result<etcd_answer>& answer) {
+        done(answer.map([](const etcd_answer& granted) {
+          return lease_id{store_internal::Number(granted.json, u"ID"_s)};
+        }));
+      });
 }
 
 void etcd_store::KeepAlive(lease_id lease,
                            callback<std::chrono::seconds> done) {
   const QString id = QString::number(static_cast<qint64>(lease.value));
-  client_->Post(QStringLiteral("/v3/lease/keepalive"),
-                {{QStringLiteral("ID"), id}}, call_kind::kWrite,
+  client_->Post(u"/v3/lease/keepalive"_s, {{u"ID"_s, id}}, call_kind::kWrite,
                 [done = std::move(done)](const result<etcd_answer>& answer) {
                   done(answer.and_then(ReadKeepAlive));
                 });
--- a/src/jayrill/store/internal/etcd_call.cc
+++ b/src/jayrill/store/internal/etcd_call.cc
@@ -13,6 +13,8 @@
 
 namespace {
 
+using namespace Qt::StringLiterals;
+
 struct progress {
   int times_sent = 0;
   bool timed_out = false;
@@ -31,10 +33,9 @@
 
 // The store answered, but with an error status.
 error StatusFailure(const QJsonObject& json, int status, call_kind kind) {
-  const int code = json.value(QStringLiteral("code")).toInt();
-  std::string message =
-      "status " + std::to_string(status) + " " +
-      json.value(QStringLiteral("error")).toString().toStdString();
+  const int code = json.value(u"code"_s).toInt();
+  std::string message = "status " + std::to_string(status) + " " +
+                        json.value(u"error"_s).toString().toStdString();
   if (code == kGrpcNotFound) {
     return Failure(error_kind::kNotFound, std::move(message));
   }
@@ -100,8 +101,7 @@
     : timeout_(timeout) {
   assert(!endpoints.empty() && "the store needs at least one endpoint");
   for (const std::string& endpoint : endpoints) {
-    endpoints_.push_back(QStringLiteral("http://") +
-                         QString::fromStdString(endpoint));
+    endpoints_.push_back(u"http://"_s + QString::fromStdString(endpoint));
   }
   calls_.setProxy(QNetworkProxy::NoProxy);
   streams_.setProxy(QNetworkProxy::NoProxy);
@@ -109,23 +109,23 @@
 
 QNetworkRequest etcd_client::Request(const QString& path) const {
   QNetworkRequest request(QUrl(endpoints_[current_] + path));
-  request.setHeader(QNetworkRequest::ContentTypeHeader,
-                    QStringLiteral("application/json"));
+  request.setHeader(QNetworkRequest::ContentTypeHeader, u"application/json"_s);
   return request;
 }
 
-void etcd_client::Post(const QString& path,
-                       const QJsonObject& body,
+void etcd_client::Post(QString path,
+                       QJsonObject body,
                        call_kind kind,
-                       const done_function& done) {
-  Try(path, body, kind, endpoints_.size(), done);
+                       done_function done) {
+  Try(std::move(path), std::move(body), kind, endpoints_.size(),
+      std::move(done));
 }
 
-void etcd_client::Try(const QString& path,
-                      const QJsonObject& body,
+void etcd_client::Try(QString path,
+                      QJsonObject body,
                       call_kind kind,
                       std::size_t tries_left,
-                      const done_function& done) {
+                      done_function done) {
   QNetworkReply* const reply = calls_.post(
       Request(path), QJsonDocument(body).toJson(QJsonDocument::Compact));
   auto seen = std::make_shared<progress>();
--- a/src/jayrill/store/internal/etcd_call.h
+++ b/src/jayrill/store/internal/etcd_call.h
@@ -35,10 +35,7 @@
   etcd_client(const std::vector<std::string>& endpoints,
               std::chrono::milliseconds timeout);
 
-  void Post(const QString& path,
-            const QJsonObject& body,
-            call_kind kind,
-            const done_function& done);
+  void Post(QString path, QJsonObject body, call_kind kind, done_function done);
 
   /// Opens a call whose answer has no end; the caller owns the reply.
   QNetworkReply* OpenStream(const QString& path, const QJsonObject& body);
@@ -47,11 +44,11 @@
   void UseNextEndpoint() { current_ = (current_ + 1) % endpoints_.size(); }
 
  private:
-  void Try(const QString& path,
-           const QJsonObject& body,
+  void Try(QString path,
+           QJsonObject body,
            call_kind kind,
            std::size_t tries_left,
-           const done_function& done);
+           done_function done);
   QNetworkRequest Request(const QString& path) const;
 
   std::vector<QString> endpoints_;
--- a/src/jayrill/store/internal/etcd_json.cc
+++ b/src/jayrill/store/internal/etcd_json.cc
@@ -6,6 +6,12 @@
 
 namespace jayrill::store_internal {
 
+namespace {
+
+using namespace Qt::StringLiterals;
+
+}  // namespace
+
 QString ToBase64(std::string_view bytes) {
   return QString::fromLatin1(
       QByteArray::fromRawData(bytes.data(),
@@ -38,12 +44,12 @@
 }
 
 QJsonObject RangeOfKey(std::string_view key) {
-  return {{QStringLiteral("key"), ToBase64(key)}};
+  return {{u"key"_s, ToBase64(key)}};
 }
 
 QJsonObject RangeOfPrefix(const std::string& prefix) {
-  return {{QStringLiteral("key"), ToBase64(prefix)},
-          {QStringLiteral("range_end"), ToBase64(RangeEnd(prefix))}};
+  return {{u"key"_s, ToBase64(prefix)},
+          {u"range_end"_s, ToBase64(RangeEnd(prefix))}};
 }
 
 QJsonObject SwapRequest(std::string_view key,
@@ -53,42 +59,37 @@
   const QString name = ToBase64(key);
   QJsonObject change;
   if (value) {
-    QJsonObject put{{QStringLiteral("key"), name},
-                    {QStringLiteral("value"), ToBase64(*value)}};
+    QJsonObject put{{u"key"_s, name}, {u"value"_s, ToBase64(*value)}};
     if (lease) {
-      put.insert(QStringLiteral("lease"),
+      put.insert(u"lease"_s,
                  QString::number(static_cast<qint64>(lease->value)));
     }
-    change.insert(QStringLiteral("request_put"), put);
+    change.insert(u"request_put"_s, put);
   } else {
-    change.insert(QStringLiteral("request_delete_range"),
-                  QJsonObject{{QStringLiteral("key"), name}});
+    change.insert(u"request_delete_range"_s, QJsonObject{{u"key"_s, name}});
   }
   const QJsonObject compare{
-      {QStringLiteral("key"), name},
-      {QStringLiteral("target"), QStringLiteral("MOD")},
-      {QStringLiteral("result"), QStringLiteral("EQUAL")},
-      {QStringLiteral("mod_revision"), QString::number(expected.value)}};
-  return {{QStringLiteral("compare"), QJsonArray{compare}},
-          {QStringLiteral("success"), QJsonArray{change}},
-          {QStringLiteral("failure"),
-           QJsonArray{QJsonObject{
-               {QStringLiteral("request_range"), RangeOfKey(key)}}}}};
+      {u"key"_s, name},
+      {u"target"_s, u"MOD"_s},
+      {u"result"_s, u"EQUAL"_s},
+      {u"mod_revision"_s, QString::number(expected.value)}};
+  return {{u"compare"_s, QJsonArray{compare}},
+          {u"success"_s, QJsonArray{change}},
+          {u"failure"_s,
+           QJsonArray{QJsonObject{{u"request_range"_s, RangeOfKey(key)}}}}};
 }
 
 store_revision HeaderRevision(const QJsonObject& answer) {
   return store_revision{
-      Number(answer.value(QStringLiteral("header")).toObject(),
-             QStringLiteral("revision"))};
+      Number(answer.value(u"header"_s).toObject(), u"revision"_s)};
 }
 
 std::vector<store_entry> Entries(const QJsonObject& answer) {
   std::vector<store_entry> entries;
-  for (const QJsonValue item : answer.value(QStringLiteral("kvs")).toArray()) {
+  for (const QJsonValue item : answer.value(u"kvs"_s).toArray()) {
     const QJsonObject kv = item.toObject();
-    entries.push_back(
-        {Bytes(kv, QStringLiteral("key")), Bytes(kv, QStringLiteral("value")),
-         store_revision{Number(kv, QStringLiteral("mod_revision"))}});
+    entries.push_back({Bytes(kv, u"key"_s), Bytes(kv, u"value"_s),
+                       store_revision{Number(kv, u"mod_revision"_s)}});
   }
   return entries;
 }
--- a/src/jayrill/store/internal/etcd_watch.cc
+++ b/src/jayrill/store/internal/etcd_watch.cc
@@ -10,6 +10,7 @@
 
 namespace {
 
+using namespace Qt::StringLiterals;
 using std::chrono::milliseconds;
 
 // Under a second with room for the round trip.
@@ -39,8 +40,7 @@
 
 void etcd_watch::Start() {
   starting_ = true;
-  client_->Post(QStringLiteral("/v3/kv/range"), RangeOfPrefix(prefix_),
-                call_kind::kRead,
+  client_->Post(u"/v3/kv/range"_s, RangeOfPrefix(prefix_), call_kind::kRead,
                 guard_.Wrap([this](const result<etcd_answer>& answer) {
                   OnList(answer);
                 }));
@@ -77,12 +77,11 @@
 
 void etcd_watch::OpenStream(store_revision from) {
   QJsonObject create = RangeOfPrefix(prefix_);
-  create.insert(QStringLiteral("start_revision"),
-                QString::number(from.value + 1));
-  create.insert(QStringLiteral("progress_notify"), true);
+  create.insert(u"start_revision"_s, QString::number(from.value + 1));
+  create.insert(u"progress_notify"_s, true);
   buffer_.clear();
-  stream_ = client_->OpenStream(QStringLiteral("/v3/watch"),
-                                {{QStringLiteral("create_request"), create}});
+  stream_ =
+      client_->OpenStream(u"/v3/watch"_s, {{u"create_request"_s, create}});
   QObject::connect(stream_, &QNetworkReply::readyRead, stream_,
                    guard_.Wrap([this] { OnStreamData(); }));
   QObject::connect(stream_, &QNetworkReply::finished, stream_,
@@ -109,28 +108,23 @@
   if (line.trimmed().isEmpty()) {
     return;
   }
-  const QJsonObject message = QJsonDocument::fromJson(line)
-                                  .object()
-                                  .value(QStringLiteral("result"))
-                                  .toObject();
-  if (message.isEmpty() || message.value(QStringLiteral("canceled")).toBool()) {
+  const QJsonObject message =
+      QJsonDocument::fromJson(line).object().value(u"result"_s).toObject();
+  if (message.isEmpty() || message.value(u"canceled"_s).toBool()) {
     Interrupt({error_kind::kUnavailable,
                "store: the watch was cancelled: " + line.toStdString(),
                "none; it is opened again"});
     return;
   }
-  for (const QJsonValue item :
-       message.value(QStringLiteral("events")).toArray()) {
+  for (const QJsonValue item : message.value(u"events"_s).toArray()) {
     const QJsonObject event = item.toObject();
-    const QJsonObject kv = event.value(QStringLiteral("kv")).toObject();
-    store_event change{
-        Bytes(kv, QStringLiteral("key")), std::nullopt,
-        store_revision{Number(kv, QStringLiteral("mod_revision"))}};
-    if (event.value(QStringLiteral("type")).toString() !=
-        QStringLiteral("DELETE")) {
-      change.value = Bytes(kv, QStringLiteral("value"));
+    const QJsonObject kv = event.value(u"kv"_s).toObject();
+    store_event change{Bytes(kv, u"key"_s), std::nullopt,
+                       store_revision{Number(kv, u"mod_revision"_s)}};
+    if (event.value(u"type"_s).toString() != u"DELETE"_s) {
+      change.value = Bytes(kv, u"value"_s);
     }
-    if (!Report(change)) {
+    if (!Report(std::move(change))) {
       return;
     }
   }
@@ -142,8 +136,8 @@
     return;
   }
   QJsonObject request = RangeOfPrefix(prefix_);
-  request.insert(QStringLiteral("keys_only"), true);
-  client_->Post(QStringLiteral("/v3/kv/range"), request, call_kind::kRead,
+  request.insert(u"keys_only"_s, true);
+  client_->Post(u"/v3/kv/range"_s, request, call_kind::kRead,
                 guard_.Wrap([this](const result<etcd_answer>& answer) {
                   OnProbe(answer);
                 }));
@@ -195,7 +189,7 @@
   buffer_.clear();
 }
 
-bool etcd_watch::Report(const store_event& event) {
+bool etcd_watch::Report(store_event event) {
   // A stream may repeat what the list has shown.
   const auto known = seen_.find(event.key);
   if (event.value) {
--- /dev/null
+++ b/tests/entry/dispatch_service_test.cc
@@ -0,0 +1,141 @@
+#include "jayrill/entry/dispatch_service.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <optional>
+
+#include "echo_agent.h"
+
+namespace jayrill {
+namespace {
+
+using std::chrono::seconds;
+
+job_spec Job(std::size_t tasks) {
+  job_spec spec;
+  spec.service = "quotes";
+  spec.team = "red";
+  spec.deadline = seconds(60);
+  for (std::size_t i = 0; i < tasks; ++i) {
+    spec.tasks.push_back({"price", std::to_string(i), std::nullopt});
+  }
+  return spec;
+}
+
+/// A service, an agent, and the thread of the test as the agent's.
+class dispatch_service_test : public testing::Test {
+ protected:
+  dispatch_service_test()
+      : io_(kj::setupAsyncIo()), service_(Settings(), time_) {
+    const auto port = service_.Start();
+    EXPECT_TRUE(port.has_value());
+    port_ = *port;
+    service_.OfferConfig(std::make_shared<const cluster_config>());
+  }
+
+  ~dispatch_service_test() noexcept override = default;
+
+  static dispatch_settings Settings() {
+    dispatch_settings settings;
+    settings.entry_id = "entry-1";
+    settings.entry = incarnation{1};
+    settings.data_centre = "dc1";
+    return settings;
+  }
+
+  void Submit(std::uint64_t sequence, std::size_t tasks) {
+    service_.Submit(job_id{{1}, sequence}, Job(tasks), [this](job_outcome end) {
+      outcome_ = std::move(end);
+      ++decided_;
+    });
+  }
+
+  /// Runs the event loop until \p reached returns true, for a minute at most.
+  template <typename Condition>
+  void RunUntil(echo_agent& agent, Condition reached) {
+    for (int i = 0; i < 6000 && !reached(); ++i) {
+      io_.provider->getTimer()
+          .afterDelay(10 * kj::MILLISECONDS)
+          .wait(io_.waitScope);
+      if (agent.has_results()) {
+        agent.Report();
+      }
+    }
+    ASSERT_TRUE(reached());
+  }
+
+  void ExpectAnswer(std::size_t tasks) {
+    ASSERT_TRUE(outcome_.has_value() && outcome_->has_value());
+    ASSERT_EQ((*outcome_)->results.size(), tasks);
+    for (std::size_t i = 0; i < tasks; ++i) {
+      EXPECT_EQ((*outcome_)->results[i], std::to_string(i));
+    }
+  }
+
+  kj::AsyncIoContext io_;
+  system_clock time_;
+  std::atomic<int> decided_ = 0;
+  std::optional<job_outcome> outcome_;
+  dispatch_service service_;
+  std::uint16_t port_ = 0;
+};
+
+// Guards against an entry whose parts work but do not fit together.
+TEST_F(dispatch_service_test, AnswersAJobOverRpc) {
+  echo_agent agent(io_, port_, "agent-1");
+  EXPECT_FALSE(agent.Connect());
+  Submit(1, 100);
+  RunUntil(agent, [this] { return decided_ == 1; });
+  ExpectAnswer(100);
+  EXPECT_EQ(agent.executions(), 100U);
+}
+
+// Guards against a cut connection that loses results or runs tasks again.
+TEST_F(dispatch_service_test, ResumesAfterACut) {
+  echo_agent agent(io_, port_, "agent-1");
+  agent.Connect();
+  agent.Hold(true);
+  Submit(1, 20);
+  RunUntil(agent, [&agent] { return agent.executions() > 0; });
+  EXPECT_TRUE(agent.Connect());
+  agent.Hold(false);
+  RunUntil(agent, [this] { return decided_ == 1; });
+  ExpectAnswer(20);
+  EXPECT_EQ(agent.executions(), 20U);
+}
+
+// Guards against a connection that sends nothing or garbage and so harms
+// others.
+TEST_F(dispatch_service_test, SurvivesGarbage) {
+  auto address = io_.provider->getNetwork()
+                     .parseAddress("127.0.0.1", port_)
+                     .wait(io_.waitScope);
+  auto silent = address->connect().wait(io_.waitScope);
+  auto noisy = address->connect().wait(io_.waitScope);
+  const std::string garbage(4096, '\xff');
+  noisy->write(garbage.data(), garbage.size()).wait(io_.waitScope);
+  auto half = address->connect().wait(io_.waitScope);
+  half->write(garbage.data(), 3).wait(io_.waitScope);
+  half = nullptr;
+  echo_agent agent(io_, port_, "agent-1");
+  agent.Connect();
+  Submit(1, 3);
+  RunUntil(agent, [this] { return decided_ == 1; });
+  ExpectAnswer(3);
+}
+
+// Guards against a job whose caller is never told.
+TEST_F(dispatch_service_test, TellsEveryCallerWhenItStops) {
+  Submit(1, 3);
+  service_.Stop();
+  EXPECT_EQ(decided_, 1);
+  EXPECT_FALSE(outcome_->has_value());
+  Submit(2, 3);
+  service_.Stop();
+  EXPECT_EQ(decided_, 2);
+  EXPECT_EQ(outcome_->error().effect, job_effect::kNotRun);
+}
+
+}  // namespace
+}  // namespace jayrill
--- /dev/null
+++ b/tests/entry/echo_agent.h
@@ -0,0 +1,138 @@
+#ifndef JAYRILL_TESTS_ENTRY_ECHO_AGENT_H_
+#define JAYRILL_TESTS_ENTRY_ECHO_AGENT_H_
+
+#include <capnp/rpc-twoparty.h>
+#include <kj/async-io.h>
+
+#include <string>
+#include <vector>
+
+#include "jayrill/rpc/codec.h"
+#include "jayrill/session/start_gate.h"
+
+namespace jayrill {
+
+/// A stand-in for an agent whose minion returns each payload at once.
+class echo_agent {
+ public:
+  echo_agent(kj::AsyncIoContext& io, std::uint16_t port, std::string id)
+      : io_(io), port_(port), id_(std::move(id)) {}
+
+  /// Connects, or connects again with a higher epoch.
+  /// \returns what the entry has answered about resuming the session.
+  bool Connect() {
+    link_ = nullptr;
+    auto address = io_.provider->getNetwork()
+                       .parseAddress("127.0.0.1", port_)
+                       .wait(io_.waitScope);
+    link_ = kj::heap<link>(address->connect().wait(io_.waitScope));
+    auto entry = link_->client.bootstrap().castAs<wire::EntryPort>();
+    entry.identifyRequest().send().wait(io_.waitScope);
+    auto request = entry.connectRequest();
+    auto hello = request.initHello();
+    hello.setProtocolVersion(kProtocolVersion);
+    hello.setAgentId(id_);
+    hello.setIncarnation(77);
+    hello.setDataCentre("dc1");
+    hello.setEpoch(gate_.Reconnect().value);
+    hello.setLastAccepted(gate_.last_accepted().value);
+    Encode(Status(), hello.initStatus());
+    request.setAgent(kj::heap<port_server>(*this));
+    auto reply = request.send().wait(io_.waitScope);
+    session_ = reply.getSession();
+    return reply.getWelcome().getResumed();
+  }
+
+  /// Keeps results back while \p held is true.
+  void Hold(bool held) { held_ = held; }
+
+  /// Reports all results that are not acknowledged.
+  void Report() {
+    auto request = KJ_REQUIRE_NONNULL(session_).reportRequest();
+    auto report = request.initReport();
+    Encode(Status(), report.initStatus());
+    auto list = report.initResults(static_cast<unsigned>(results_.size()));
+    for (unsigned i = 0; i < list.size(); ++i) {
+      Encode(results_[i], list[i]);
+    }
+    results_.clear();
+    request.send().ignoreResult().wait(io_.waitScope);
+  }
+
+  std::size_t executions() const { return executions_; }
+  bool has_results() const { return !held_ && !results_.empty(); }
+
+ private:
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wnon-virtual-dtor"
+  class port_server final : public wire::AgentPort::Server {
+   public:
+    explicit port_server(echo_agent& agent) : agent_(agent) {}
+    kj::Promise<void> start(StartContext context) override {
+      agent_.OnStarts(context.getParams().getBatch());
+      return kj::READY_NOW;
+    }
+    kj::Promise<void> cancel(CancelContext /*context*/) override {
+      return kj::READY_NOW;
+    }
+    kj::Promise<void> configure(ConfigureContext context) override {
+      agent_.revision_ = context.getParams().getConfig().getRevision();
+      context.getResults().setRevision(agent_.revision_);
+      return kj::READY_NOW;
+    }
+    kj::Promise<void> heartbeat(HeartbeatContext /*context*/) override {
+      return kj::READY_NOW;
+    }
+
+   private:
+    echo_agent& agent_;
+  };
+#pragma GCC diagnostic pop
+
+  struct link {
+    explicit link(kj::Own<kj::AsyncIoStream> opened)
+        : stream(kj::mv(opened)), client(*stream) {}
+    kj::Own<kj::AsyncIoStream> stream;
+    capnp::TwoPartyClient client;
+  };
+
+  minion_status Status() const {
+    minion_status status;
+    status.service = "quotes";
+    status.slots = 8;
+    status.revision = config_revision{revision_};
+    return status;
+  }
+
+  void OnStarts(wire::StartBatch::Reader batch) {
+    for (const auto wire : batch.getStarts()) {
+      const start_order order = Decode(wire);
+      if (gate_.Admit(connection_epoch{batch.getEpoch()}, order.number) !=
+          start_gate::decision::kAdmitted) {
+        continue;
+      }
+      ++executions_;
+      task_result result;
+      result.number = order.number;
+      result.outcome = task_outcome::kSucceeded;
+      result.body = order.payload;
+      result.run_time = std::chrono::milliseconds(1);
+      results_.push_back(result);
+    }
+  }
+
+  kj::AsyncIoContext& io_;
+  std::uint16_t port_;
+  std::string id_;
+  start_gate gate_;
+  std::uint64_t revision_ = 0;
+  std::vector<task_result> results_;
+  std::size_t executions_ = 0;
+  bool held_ = false;
+  kj::Own<link> link_;
+  kj::Maybe<wire::EntrySession::Client> session_;
+};
+
+}  // namespace jayrill
+
+#endif  // JAYRILL_TESTS_ENTRY_ECHO_AGENT_H_
