Add the agent role and the sample backend

The agent gates every start, queues it for a slot, calls the minion over local HTTP and reports to each entry. Decisions are in agent_core, on plain values; entry_link carries them over RPC and minion_client over HTTP.

QNetworkAccessManager repeats a request when the server closes the connection before the answer, which would run a task twice. The request body can be read only once, so that Qt reports a failure instead.

Run: agent_test, one case, passes: a start runs end to end and a duplicate of it does not run again.

--- /dev/null
+++ b/src/jayrill/agent/agent_core.cc
@@ -0,0 +1,384 @@
+#include "jayrill/agent/agent_core.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "jayrill/config/config_codec.h"
+
+namespace jayrill {
+
+namespace {
+
+std::chrono::microseconds Micros(steady_duration duration) {
+  return std::chrono::duration_cast<std::chrono::microseconds>(duration);
+}
+
+}  // namespace
+
+agent_core::agent_core(agent_settings settings, const clock& time, host& owner)
+    : settings_(std::move(settings)),
+      time_(time),
+      host_(owner),
+      pause_(time),
+      queue_(settings_.queue_limit) {}
+
+void agent_core::Announce(const announcement& minion) {
+  // An announcement that was on its way when the minion left must not bring
+  // it back; a restarted minion is accepted after the same time.
+  if (left_at_ && time_.Now() - *left_at_ <= settings_.announce_ttl) {
+    return;
+  }
+  if (left_at_ || !IsAnnounced()) {
+    LOG(INFO) << "agent: minion announced service=" << minion.service
+              << " port=" << minion.port << " slots=" << minion.slots;
+  }
+  left_at_.reset();
+  minion_ = minion;
+  announced_at_ = time_.Now();
+  DispatchWaiting();
+  host_.StatusChanged();
+}
+
+void agent_core::Leave() {
+  LOG(INFO) << "agent: the minion leaves running=" << running_.size()
+            << " queued=" << queue_.waiting();
+  left_at_ = time_.Now();
+  GiveBack([](const queued_start&) { return true; },
+           {not_run_reason::kDraining, "the minion is leaving"});
+  host_.StatusChanged();
+}
+
+void agent_core::OfferConfig(const config_copy& offered) {
+  if (offered.revision <= config_.revision) {
+    return;
+  }
+  const auto decoded = DecodeConfig(offered.json);
+  if (!decoded || decoded->revision != offered.revision) {
+    LOG(ERROR) << "config: ignored a malformed configuration revision="
+               << offered.revision.value << " "
+               << (decoded ? "the revision inside differs"
+                           : ToString(decoded.error()));
+    return;
+  }
+  config_ = offered;
+  out_ = decoded->IsOut(settings_.data_centre);
+  LOG(INFO) << "config: adopted revision=" << config_.revision.value
+            << " data_centre_out=" << out_;
+  if (out_) {
+    GiveBack([](const queued_start&) { return true; },
+             {not_run_reason::kDataCentreOut, "the data centre is out"});
+  }
+  host_.StatusChanged();
+}
+
+entry_session::opening agent_core::Connect(incarnation entry) {
+  ++counters_.connects;
+  return sessions_[entry].Connect();
+}
+
+void agent_core::Welcome(incarnation entry, bool resumed) {
+  if (!resumed) {
+    // The entry has reported these starts as lost; they must not run.
+    queue_.WithdrawIf(
+        [entry](const queued_start& start) { return start.entry == entry; });
+    host_.StatusChanged();
+  }
+  counters_.dropped_results += sessions_[entry].Welcome(resumed);
+}
+
+void agent_core::Disconnect(incarnation entry, connection_epoch epoch) {
+  if (sessions_[entry].epoch() == epoch) {
+    sessions_[entry].Disconnect(time_.Now());
+  }
+}
+
+bool agent_core::IsConnected(incarnation entry) const {
+  const auto found = sessions_.find(entry);
+  return found != sessions_.end() && found->second.connected();
+}
+
+void agent_core::HandleBatch(incarnation entry, const start_batch& batch) {
+  if (CheckPause()) {
+    return;  // Neither accepted nor reported: the reconnect fences them.
+  }
+  entry_session& session = sessions_[entry];
+  const steady_time now = time_.Now();
+  for (const start_order& order : batch.starts) {
+    const auto decision = session.Admit(batch.epoch, order.number);
+    if (decision != start_gate::decision::kAdmitted) {
+      ++(decision == start_gate::decision::kDuplicate ? counters_.duplicates
+                                                      : counters_.fenced);
+      continue;
+    }
+    if (batch.revision < config_.revision) {
+      Refuse(entry, order.number,
+             {not_run_reason::kStaleConfig,
+              "the entry's configuration is older than the agent's"},
+             {});
+    } else if (const auto why = Blocked(order, now + order.remaining)) {
+      Refuse(entry, order.number, *why, {});
+    } else if (queue_.IsFull()) {
+      Refuse(entry, order.number,
+             {not_run_reason::kQueueFull, "the agent's queue is full"}, {});
+    } else {
+      Enqueue(entry, order);
+    }
+  }
+  DispatchWaiting();
+  host_.StatusChanged();
+}
+
+void agent_core::Enqueue(incarnation entry, const start_order& order) {
+  const steady_time now = time_.Now();
+  ++counters_.admitted;
+  queue_.Push({entry, order, now, now + order.remaining});
+}
+
+std::optional<agent_core::refusal> agent_core::Blocked(
+    const start_order& order,
+    steady_time deadline) const {
+  if (out_) {
+    return refusal{not_run_reason::kDataCentreOut, "the data centre is out"};
+  }
+  if (stopping_) {
+    return refusal{not_run_reason::kDraining, "the agent is stopping"};
+  }
+  if (left_at_) {
+    return refusal{not_run_reason::kDraining, "the minion is leaving"};
+  }
+  if (!IsAnnounced()) {
+    return refusal{not_run_reason::kNoMinion, "no minion is announced"};
+  }
+  if (order.service != minion_->service) {
+    return refusal{not_run_reason::kWrongService,
+                   "the minion serves " + minion_->service};
+  }
+  if (deadline <= time_.Now()) {
+    return refusal{not_run_reason::kExpired, "the deadline has passed"};
+  }
+  return std::nullopt;
+}
+
+void agent_core::Cancel(incarnation entry,
+                        std::span<const start_number> numbers) {
+  for (const start_number number : numbers) {
+    const auto withdrawn = queue_.Withdraw(entry, number);
+    if (withdrawn) {
+      Refuse(entry, number, {not_run_reason::kCancelled, "cancelled"},
+             Micros(time_.Now() - withdrawn->arrived));
+    }
+  }
+  host_.StatusChanged();
+}
+
+void agent_core::DispatchWaiting() {
+  if (CheckPause()) {
+    return;
+  }
+  while (auto next = queue_.TakeNext(slots())) {
+    if (const auto why = Blocked(next->order, next->deadline)) {
+      queue_.Release({});
+      Refuse(next->entry, next->order.number, *why,
+             Micros(time_.Now() - next->arrived));
+      continue;
+    }
+    Release(std::move(*next));
+  }
+}
+
+void agent_core::Release(queued_start start) {
+  const steady_time now = time_.Now();
+  const std::uint64_t call = ++last_call_;
+  running_[call] = {start.entry,
+                    sessions_[start.entry].generation(),
+                    start.order.number,
+                    start.arrived,
+                    now,
+                    {}};
+  ++counters_.calls;
+  host_.Call(
+      {call, std::move(start.order), minion_->port, now, start.deadline});
+}
+
+void agent_core::OnResult(std::uint64_t call, task_result outcome) {
+  const auto found = running_.find(call);
+  if (found == running_.end()) {
+    return;
+  }
+  running_call& run = found->second;
+  run.run_time = outcome.run_time;
+  if (sessions_[run.entry].generation() != run.generation) {
+    ++counters_.dropped_results;
+    return;
+  }
+  outcome.number = run.number;
+  outcome.wait_time = Micros(run.released - run.arrived);
+  Report(run.entry, std::move(outcome));
+}
+
+void agent_core::OnSlotFree(std::uint64_t call) {
+  const auto found = running_.find(call);
+  if (found == running_.end()) {
+    return;
+  }
+  queue_.Release(found->second.run_time);
+  running_.erase(found);
+  DispatchWaiting();
+  host_.StatusChanged();
+}
+
+void agent_core::GiveBack(
+    const std::function<bool(const queued_start&)>& matches,
+    const refusal& why) {
+  const steady_time now = time_.Now();
+  for (const queued_start& start : queue_.WithdrawIf(matches)) {
+    Refuse(start.entry, start.order.number, why, Micros(now - start.arrived));
+  }
+}
+
+void agent_core::Refuse(incarnation entry,
+                        start_number number,
+                        const refusal& why,
+                        std::chrono::microseconds waited) {
+  task_result outcome;
+  outcome.number = number;
+  outcome.outcome = task_outcome::kNotRun;
+  outcome.reason = why.reason;
+  outcome.message = why.message;
+  outcome.wait_time = waited;
+  Report(entry, std::move(outcome));
+}
+
+void agent_core::Report(incarnation entry, task_result outcome) {
+  switch (outcome.outcome) {
+    case task_outcome::kSucceeded:
+      ++counters_.succeeded;
+      break;
+    case task_outcome::kFailed:
+      ++counters_.failed;
+      break;
+    case task_outcome::kNotRun:
+      ++counters_.not_run.at(static_cast<std::size_t>(outcome.reason));
+      break;
+    case task_outcome::kUnknown:
+      ++counters_.unknown;
+      break;
+  }
+  sessions_[entry].AddResult(std::move(outcome));
+  host_.ResultReady(entry);
+}
+
+bool agent_core::CheckPause() {
+  if (!pause_.IsPaused()) {
+    return false;
+  }
+  pause_.Tick();
+  HandlePause();
+  return true;
+}
+
+void agent_core::HandlePause() {
+  LOG(WARNING) << "agent: the process was paused; reconnecting queued="
+               << queue_.waiting();
+  ++counters_.pauses;
+  GiveBack([](const queued_start&) { return true; },
+           {not_run_reason::kPaused, "the agent was paused"});
+  for (auto& [entry, session] : sessions_) {
+    session.Disconnect(time_.Now());
+  }
+  host_.PauseDetected();
+  host_.StatusChanged();
+}
+
+void agent_core::Tick() {
+  if (pause_.Tick()) {
+    HandlePause();
+  }
+  if (minion_ && !IsAnnounced()) {
+    LOG(WARNING) << "agent: the announcement of the minion has expired";
+    minion_.reset();
+    GiveBack([](const queued_start&) { return true; },
+             {not_run_reason::kNoMinion, "the minion's announcement expired"});
+    host_.StatusChanged();
+  }
+  const steady_time now = time_.Now();
+  GiveBack([now](const queued_start& start) { return start.deadline <= now; },
+           {not_run_reason::kExpired, "the deadline has passed"});
+  CloseLostSessions();
+}
+
+void agent_core::CloseLostSessions() {
+  const steady_duration lost_after =
+      std::max(settings_.session_lost_after, 3 * heartbeat_);
+  for (auto& [entry, session] : sessions_) {
+    if (session.connected()) {
+      continue;
+    }
+    const steady_duration silent = time_.Now() - session.disconnected_at();
+    if (silent > lost_after && !session.lost()) {
+      session.MarkLost();
+      ++counters_.lost_sessions;
+      LOG(WARNING) << "agent: session lost entry=" << ToString(entry);
+      GiveBack([entry = entry](
+                   const queued_start& start) { return start.entry == entry; },
+               {not_run_reason::kCancelled, "the session was lost"});
+    }
+    if (silent > settings_.result_keep) {
+      counters_.dropped_results += session.DropResults();
+    }
+  }
+}
+
+void agent_core::SetHeartbeat(std::chrono::milliseconds interval) {
+  heartbeat_ = interval;
+}
+
+void agent_core::Drain() {
+  stopping_ = true;
+  GiveBack([](const queued_start&) { return true; },
+           {not_run_reason::kDraining, "the agent is stopping"});
+  host_.StatusChanged();
+}
+
+bool agent_core::IsDrained() const {
+  const bool reported = std::all_of(
+      sessions_.begin(), sessions_.end(), [](const auto& entry_and_session) {
+        const entry_session& session = entry_and_session.second;
+        return session.unacknowledged() == 0 || session.lost();
+      });
+  return running_.empty() && reported;
+}
+
+bool agent_core::IsAnnounced() const {
+  return minion_.has_value() &&
+         time_.Now() - announced_at_ <= settings_.announce_ttl;
+}
+
+std::uint32_t agent_core::slots() const {
+  if (!minion_) {
+    return 0;
+  }
+  return std::min({minion_->slots, minion_->connections, settings_.slots_cap});
+}
+
+minion_status agent_core::Status() const {
+  minion_status status;
+  status.draining = stopping_ || left_at_.has_value();
+  status.busy = queue_.busy();
+  status.queued = static_cast<std::uint32_t>(queue_.waiting());
+  status.revision = config_.revision;
+  if (IsAnnounced()) {
+    status.service = minion_->service;
+    status.slots = slots();
+    status.connections = minion_->connections;
+    status.cores = minion_->cores;
+    status.memory_mb = minion_->memory_mb;
+    status.accelerators = minion_->accelerators;
+    status.expected_free = queue_.ExpectedFree(slots());
+  }
+  return status;
+}
+
+}  // namespace jayrill
--- /dev/null
+++ b/src/jayrill/agent/agent_process.cc
@@ -0,0 +1,108 @@
+#include "jayrill/agent/agent_process.h"
+
+#include <glog/logging.h>
+
+#include <utility>
+
+#include "jayrill/agent/internal/agent_loop.h"
+#include "jayrill/agent/internal/counters_text.h"
+
+namespace jayrill {
+
+agent_process::agent_process(agent_settings settings, const clock& time)
+    : settings_(std::move(settings)),
+      time_(time),
+      metrics_([this] { return agent::internal::ToText(view()); }),
+      client_(settings_, time, ClientListener()),
+      api_(settings_.announce_ttl, ApiListener()) {}
+
+agent_process::~agent_process() {
+  PostToLoop([](agent_loop& loop) { loop.Abandon(); });
+  if (thread_.joinable()) {
+    thread_.join();
+  }
+}
+
+result<void> agent_process::Start() {
+  if (auto listening = api_.Listen(settings_.http_address); !listening) {
+    return listening;
+  }
+  LOG(INFO) << "agent: started id=" << settings_.id
+            << " data_centre=" << settings_.data_centre
+            << " http_port=" << api_.port();
+  thread_ = std::thread([this] { RunLoop(); });
+  return {};
+}
+
+void agent_process::Stop() {
+  PostToLoop([](agent_loop& loop) { loop.Stop(); });
+}
+
+void agent_process::RunLoop() {
+  agent_loop loop(
+      settings_, time_, inbox_,
+      [this](task_call call) {
+        PostToQt([this, call = std::move(call)] { client_.Run(call); });
+      },
+      [this](const agent_view& current) {
+        const std::lock_guard<std::mutex> lock(view_mutex_);
+        view_ = current;
+      });
+  loop_ = &loop;
+  loop.Run();
+  loop_ = nullptr;
+  PostToQt([this] {
+    LOG(INFO) << "agent: stopped";
+    if (stopped_) {
+      stopped_();
+    }
+  });
+}
+
+void agent_process::PostToLoop(std::function<void(agent_loop&)> work) {
+  inbox_.Post([this, work = std::move(work)] { work(*loop_); });
+}
+
+void agent_process::PostToQt(std::function<void()> work) {
+  QMetaObject::invokeMethod(&qt_context_, std::move(work),
+                            Qt::QueuedConnection);
+}
+
+minion_client::listener agent_process::ClientListener() {
+  return {
+      [this](std::uint64_t call, task_result outcome) {
+        PostToLoop([call, outcome = std::move(outcome)](agent_loop& loop) {
+          loop.core().OnResult(call, outcome);
+        });
+      },
+      [this](std::uint64_t call) {
+        PostToLoop([call](agent_loop& loop) { loop.core().OnSlotFree(call); });
+      }};
+}
+
+announce_api::listener agent_process::ApiListener() {
+  return {[this](announcement minion) {
+            // The same rule as in agent_core::Announce.
+            if (left_at_ && time_.Now() - *left_at_ > settings_.announce_ttl) {
+              left_at_.reset();
+              client_.SetLeft(false);
+            }
+            PostToLoop([minion = std::move(minion)](agent_loop& loop) {
+              loop.core().Announce(minion);
+            });
+          },
+          [this] {
+            left_at_ = time_.Now();
+            client_.SetLeft(true);
+            PostToLoop([](agent_loop& loop) { loop.core().Leave(); });
+            return client_.running();
+          },
+          [this] { return metrics_(); }};
+}
+
+agent_view agent_process::view() const {
+  const std::lock_guard<std::mutex> lock(view_mutex_);
+  return view_;
+}
+
+}  // namespace jayrill
--- /dev/null
+++ b/src/jayrill/agent/announce_api.h
@@ -0,0 +1,46 @@
+#ifndef JAYRILL_AGENT_ANNOUNCE_API_H_
+#define JAYRILL_AGENT_ANNOUNCE_API_H_
+
+#include <QHttpServer>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include "jayrill/agent/announcement.h"
+#include "jayrill/base/error.h"
+
+namespace jayrill {
+
+/// The HTTP interface of an agent for its minion: announcements, the notice of
+/// leaving, health and metrics. Lives on the Qt thread.
+class announce_api final {
+ public:
+  struct listener {
+    std::function<void(announcement minion)> on_announce;
+    /// \returns the number of tasks that still run.
+    std::function<std::uint32_t()> on_leave;
+    /// \returns the text of GET /metrics.
+    std::function<std::string()> metrics;
+  };
+
+  announce_api(std::chrono::milliseconds ttl, listener owner);
+
+  /// Listens on \p address (IP:port; port 0 lets the system choose).
+  result<void> Listen(const std::string& address);
+
+  std::uint16_t port() const { return port_; }
+
+ private:
+  QHttpServerResponse HandleAnnounce(const QHttpServerRequest& request);
+  QHttpServerResponse HandleLeave();
+
+  const std::chrono::milliseconds ttl_;
+  listener listener_;
+  std::uint16_t port_ = 0;
+  QHttpServer server_;
+};
+
+}  // namespace jayrill
+
+#endif  // JAYRILL_AGENT_ANNOUNCE_API_H_
--- /dev/null
+++ b/src/jayrill/agent/config_copy.h
@@ -0,0 +1,21 @@
+#ifndef JAYRILL_AGENT_CONFIG_COPY_H_
+#define JAYRILL_AGENT_CONFIG_COPY_H_
+
+#include <compare>
+#include <string>
+
+#include "jayrill/base/ids.h"
+
+namespace jayrill {
+
+/// A configuration in the JSON form in which agents receive and hand it on.
+struct config_copy {
+  config_revision revision;
+  std::string json;
+
+  auto operator<=>(const config_copy&) const = default;
+};
+
+}  // namespace jayrill
+
+#endif  // JAYRILL_AGENT_CONFIG_COPY_H_
--- /dev/null
+++ b/src/jayrill/agent/internal/counters_text.cc
@@ -0,0 +1,51 @@
+#include "jayrill/agent/internal/counters_text.h"
+
+#include <sstream>
+#include <string_view>
+
+namespace jayrill::agent::internal {
+
+namespace {
+
+struct counter_field {
+  std::string_view name;
+  std::uint64_t agent_counters::*member;
+};
+
+constexpr counter_field kFields[] = {
+    {"admitted", &agent_counters::admitted},
+    {"duplicates", &agent_counters::duplicates},
+    {"fenced", &agent_counters::fenced},
+    {"calls", &agent_counters::calls},
+    {"succeeded", &agent_counters::succeeded},
+    {"failed", &agent_counters::failed},
+    {"unknown", &agent_counters::unknown},
+    {"dropped_results", &agent_counters::dropped_results},
+    {"pauses", &agent_counters::pauses},
+    {"lost_sessions", &agent_counters::lost_sessions},
+    {"reports", &agent_counters::reports},
+    {"connects", &agent_counters::connects},
+};
+
+}  // namespace
+
+std::string ToText(const agent_view& view) {
+  std::ostringstream text;
+  for (const counter_field& field : kFields) {
+    text << "jayrill_agent_" << field.name << "_total "
+         << view.counters.*field.member << '\n';
+  }
+  for (std::size_t reason = 1; reason < kNotRunReasons; ++reason) {
+    text << "jayrill_agent_not_run_total{reason=\""
+         << ToString(static_cast<not_run_reason>(reason)) << "\"} "
+         << view.counters.not_run.at(reason) << '\n';
+  }
+  text << "jayrill_agent_busy_slots " << view.status.busy << '\n'
+       << "jayrill_agent_slots " << view.status.slots << '\n'
+       << "jayrill_agent_queued " << view.status.queued << '\n'
+       << "jayrill_agent_config_revision " << view.status.revision.value << '\n'
+       << "jayrill_agent_connected_entries " << view.connected_entries << '\n';
+  return text.str();
+}
+
+}  // namespace jayrill::agent::internal
--- /dev/null
+++ b/src/jayrill/agent/internal/counters_text.h
@@ -0,0 +1,15 @@
+#ifndef JAYRILL_AGENT_INTERNAL_COUNTERS_TEXT_H_
+#define JAYRILL_AGENT_INTERNAL_COUNTERS_TEXT_H_
+
+#include <string>
+
+#include "jayrill/agent/agent_process.h"
+
+namespace jayrill::agent::internal {
+
+/// \returns \p view in the text exposition format.
+std::string ToText(const agent_view& view);
+
+}  // namespace jayrill::agent::internal
+
+#endif  // JAYRILL_AGENT_INTERNAL_COUNTERS_TEXT_H_
--- /dev/null
+++ b/src/jayrill/agent/run_queue.cc
@@ -0,0 +1,87 @@
+#include "jayrill/agent/run_queue.h"
+
+#include <cassert>
+#include <cmath>
+
+namespace jayrill {
+
+namespace {
+
+// Weight of the newest run time: about the last ten runs determine the mean.
+constexpr double kNewestWeight = 0.1;
+
+// A priority that is not a number has no place in the order.
+double Orderable(double priority) {
+  return std::isnan(priority) ? 0 : priority;
+}
+
+}  // namespace
+
+void run_queue::Push(queued_start start) {
+  assert(!IsFull() && "check IsFull before Push");
+  const rank place{Orderable(start.order.priority), ++arrivals_};
+  ranks_[start_key(start.entry, start.order.number)] = place;
+  waiting_.emplace(place, std::move(start));
+}
+
+std::optional<queued_start> run_queue::TakeNext(std::uint32_t slots) {
+  if (busy_ >= slots || waiting_.empty()) {
+    return std::nullopt;
+  }
+  const auto first = waiting_.begin();
+  queued_start start = std::move(first->second);
+  waiting_.erase(first);
+  ranks_.erase(start_key(start.entry, start.order.number));
+  ++busy_;
+  return start;
+}
+
+void run_queue::Release(std::chrono::microseconds run_time) {
+  assert(busy_ > 0 && "every release follows a TakeNext");
+  --busy_;
+  if (run_time.count() <= 0) {
+    return;
+  }
+  const auto micros = static_cast<double>(run_time.count());
+  mean_run_micros_ =
+      mean_run_micros_ == 0
+          ? micros
+          : mean_run_micros_ + (micros - mean_run_micros_) * kNewestWeight;
+}
+
+std::optional<queued_start> run_queue::Withdraw(incarnation entry,
+                                                start_number number) {
+  const auto found = ranks_.find(start_key(entry, number));
+  if (found == ranks_.end()) {
+    return std::nullopt;
+  }
+  auto node = waiting_.extract(found->second);
+  ranks_.erase(found);
+  return std::move(node.mapped());
+}
+
+std::vector<queued_start> run_queue::WithdrawIf(
+    const std::function<bool(const queued_start&)>& matches) {
+  std::vector<queued_start> withdrawn;
+  for (auto it = waiting_.begin(); it != waiting_.end();) {
+    if (!matches(it->second)) {
+      ++it;
+      continue;
+    }
+    ranks_.erase(start_key(it->second.entry, it->second.order.number));
+    withdrawn.push_back(std::move(it->second));
+    it = waiting_.erase(it);
+  }
+  return withdrawn;
+}
+
+std::chrono::microseconds run_queue::ExpectedFree(std::uint32_t slots) const {
+  if (slots == 0 || busy_ + waiting_.size() < slots) {
+    return {};
+  }
+  const auto ahead = static_cast<double>(busy_ + waiting_.size() - slots + 1);
+  return std::chrono::microseconds(
+      std::llround(mean_run_micros_ * ahead / slots));
+}
+
+}  // namespace jayrill
--- /dev/null
+++ b/src/jayrill/agent/task_call.h
@@ -0,0 +1,25 @@
+#ifndef JAYRILL_AGENT_TASK_CALL_H_
+#define JAYRILL_AGENT_TASK_CALL_H_
+
+#include <compare>
+#include <cstdint>
+
+#include "jayrill/base/clock.h"
+#include "jayrill/job/start_order.h"
+
+namespace jayrill {
+
+/// One call of the minion: a start that has got a slot.
+struct task_call {
+  std::uint64_t id = 0;  ///< Unique within the agent.
+  start_order order;
+  std::uint16_t port = 0;  ///< Of the minion.
+  steady_time released;    ///< When the start gate released it.
+  steady_time deadline;    ///< Of its job.
+
+  auto operator<=>(const task_call&) const = default;
+};
+
+}  // namespace jayrill
+
+#endif  // JAYRILL_AGENT_TASK_CALL_H_
--- /dev/null
+++ b/src/jayrill/sample.h
@@ -0,0 +1,13 @@
+#ifndef JAYRILL_SAMPLE_H_
+#define JAYRILL_SAMPLE_H_
+
+/// \file
+/// Umbrella header of the sample module: a minion with configurable speed,
+/// slots and faults, which counts executions.
+
+#include "jayrill/sample/execution_record.h"
+#include "jayrill/sample/sample_backend.h"
+#include "jayrill/sample/sample_fault.h"
+#include "jayrill/sample/sample_settings.h"
+
+#endif  // JAYRILL_SAMPLE_H_
--- /dev/null
+++ b/tests/integration/fake_entry.cc
@@ -0,0 +1,250 @@
+#include "fake_entry.h"
+
+#include <capnp/rpc-twoparty.h>
+
+#include <future>
+#include <utility>
+
+#include "jayrill/rpc/codec.h"
+
+// The generated classes have non-virtual destructors.
+#pragma GCC diagnostic ignored "-Wnon-virtual-dtor"
+
+namespace jayrill {
+
+struct fake_entry::peer {
+  kj::Own<kj::AsyncIoStream> stream;
+  kj::Maybe<wire::AgentPort::Client> agent;
+};
+
+struct fake_entry::state : kj::TaskSet::ErrorHandler {
+  explicit state(fake_entry& owner)
+      : entry(owner),
+        io(kj::setupAsyncIo()),
+        observer(io.unixEventPort,
+                 owner.inbox_.event_fd(),
+                 kj::UnixEventPort::FdObserver::OBSERVE_READ),
+        tasks(*this) {}
+
+  void taskFailed(kj::Exception&&) override {}
+
+  kj::Promise<void> ServeInbox() {
+    return observer.whenBecomesReadable().then([this] {
+      entry.inbox_.Drain();
+      tasks.add(ServeInbox());
+    });
+  }
+
+  kj::Promise<void> Accept();
+
+  fake_entry& entry;
+  kj::AsyncIoContext io;
+  kj::UnixEventPort::FdObserver observer;
+  kj::Own<kj::ConnectionReceiver> receiver;
+  kj::Maybe<wire::AgentPort::Client> agent;
+  connection_epoch epoch;
+  config_copy config;
+  bool resumed = false;
+  bool hold = false;
+  kj::Own<kj::PromiseFulfiller<void>> end;
+  kj::Own<kj::TaskSet> connections;
+  kj::TaskSet tasks;
+};
+
+class fake_entry::session final : public wire::EntrySession::Server {
+ public:
+  explicit session(state& owner) : state_(owner) {}
+
+ protected:
+  kj::Promise<void> report(ReportContext context) override {
+    const auto report = context.getParams().getReport();
+    {
+      const std::lock_guard<std::mutex> lock(state_.entry.mutex_);
+      record& seen = state_.entry.record_;
+      ++seen.reports;
+      seen.status = Decode(report.getStatus());
+      for (const auto result : report.getResults()) {
+        const task_result decoded = Decode(result);
+        seen.results[decoded.number].push_back(decoded);
+      }
+      if (report.getConfig().getRevision() != 0) {
+        seen.newest_config = {report.getConfig().getRevision()};
+      }
+    }
+    if (state_.hold) {
+      return kj::NEVER_DONE;
+    }
+    return kj::READY_NOW;
+  }
+  kj::Promise<void> goodbye(GoodbyeContext) override {
+    const std::lock_guard<std::mutex> lock(state_.entry.mutex_);
+    ++state_.entry.record_.goodbyes;
+    return kj::READY_NOW;
+  }
+
+ private:
+  state& state_;
+};
+
+class fake_entry::port final : public wire::EntryPort::Server {
+ public:
+  explicit port(state& owner) : state_(owner) {}
+
+ protected:
+  kj::Promise<void> identify(IdentifyContext context) override {
+    auto entry = context.getResults().initEntry();
+    entry.setId("fake");
+    entry.setIncarnation(state_.entry.incarnation_);
+    entry.setProtocolVersion(kProtocolVersion);
+    return kj::READY_NOW;
+  }
+  kj::Promise<void> connect(ConnectContext context) override {
+    const auto hello = context.getParams().getHello();
+    state_.epoch = {hello.getEpoch()};
+    state_.agent = context.getParams().getAgent();
+    {
+      const std::lock_guard<std::mutex> lock(state_.entry.mutex_);
+      record& seen = state_.entry.record_;
+      seen.hellos.push_back({state_.epoch, {hello.getLastAccepted()}});
+      seen.hello_configs.push_back({hello.getConfig().getRevision()});
+      seen.status = Decode(hello.getStatus());
+    }
+    auto results = context.getResults();
+    auto welcome = results.initWelcome();
+    welcome.initConfig().setRevision(state_.config.revision.value);
+    welcome.getConfig().setJson(ToData(state_.config.json));
+    welcome.setHeartbeatMs(1000);
+    welcome.setResumed(state_.resumed);
+    results.setSession(kj::heap<session>(state_));
+    return kj::READY_NOW;
+  }
+
+ private:
+  state& state_;
+};
+
+kj::Promise<void> fake_entry::state::Accept() {
+  return receiver->accept().then([this](kj::Own<kj::AsyncIoStream>&& stream) {
+    auto server = kj::heap<capnp::TwoPartyServer>(kj::heap<port>(*this));
+    auto served = server->accept(*stream);
+    connections->add(served.attach(kj::mv(stream), kj::mv(server)));
+    tasks.add(Accept());
+  });
+}
+
+fake_entry::fake_entry(std::uint64_t incarnation_value)
+    : incarnation_(incarnation_value) {
+  std::promise<void> ready;
+  thread_ = std::thread([this, &ready] {
+    state local(*this);
+    local.connections =
+        kj::heap<kj::TaskSet>(static_cast<kj::TaskSet::ErrorHandler&>(local));
+    auto address = local.io.provider->getNetwork()
+                       .parseAddress("127.0.0.1:0")
+                       .wait(local.io.waitScope);
+    local.receiver = address->listen();
+    port_ = local.receiver->getPort();
+    state_ = &local;
+    auto paf = kj::newPromiseAndFulfiller<void>();
+    local.end = kj::mv(paf.fulfiller);
+    local.tasks.add(local.ServeInbox());
+    local.tasks.add(local.Accept());
+    ready.set_value();
+    paf.promise.wait(local.io.waitScope);
+    local.agent = nullptr;
+    local.connections = nullptr;
+  });
+  ready.get_future().wait();
+}
+
+fake_entry::~fake_entry() {
+  Post([](state& own) { own.end->fulfill(); });
+  thread_.join();
+}
+
+std::string fake_entry::address() const {
+  return "127.0.0.1:" + std::to_string(port_);
+}
+
+fake_entry::record fake_entry::Record() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return record_;
+}
+
+void fake_entry::Post(std::function<void(state&)> work) {
+  inbox_.Post([this, work = std::move(work)] { work(*state_); });
+}
+
+void fake_entry::Send(start_batch batch) {
+  Post([batch = std::move(batch)](state& own) {
+    KJ_IF_MAYBE (agent, own.agent) {
+      auto request = agent->startRequest();
+      auto wire = request.initBatch();
+      wire.setRevision(batch.revision.value);
+      wire.setEpoch(batch.epoch.value != 0 ? batch.epoch.value
+                                           : own.epoch.value);
+      auto starts = wire.initStarts(static_cast<unsigned>(batch.starts.size()));
+      unsigned index = 0;
+      for (const start_order& order : batch.starts) {
+        Encode(order, starts[index++]);
+      }
+      own.tasks.add(request.send().ignoreResult());
+    }
+  });
+}
+
+void fake_entry::Cancel(start_number number) {
+  Post([number](state& own) {
+    KJ_IF_MAYBE (agent, own.agent) {
+      auto request = agent->cancelRequest();
+      request.initNumbers(1).set(0, number.value);
+      own.tasks.add(request.send().ignoreResult());
+    }
+  });
+}
+
+void fake_entry::Configure(const config_copy& config) {
+  Post([config](state& own) {
+    KJ_IF_MAYBE (agent, own.agent) {
+      auto request = agent->configureRequest();
+      request.initConfig().setRevision(config.revision.value);
+      request.getConfig().setJson(ToData(config.json));
+      own.tasks.add(request.send().ignoreResult());
+    }
+  });
+}
+
+void fake_entry::Heartbeat(const std::vector<std::string>& entries) {
+  Post([entries](state& own) {
+    KJ_IF_MAYBE (agent, own.agent) {
+      auto request = agent->heartbeatRequest();
+      auto list = request.initEntries(static_cast<unsigned>(entries.size()));
+      unsigned index = 0;
+      for (const std::string& entry : entries) {
+        list.set(index++, entry);
+      }
+      own.tasks.add(request.send().ignoreResult());
+    }
+  });
+}
+
+void fake_entry::SetWelcome(const config_copy& config, bool resumed) {
+  Post([config, resumed](state& own) {
+    own.config = config;
+    own.resumed = resumed;
+  });
+}
+
+void fake_entry::HoldAcknowledgements(bool hold) {
+  Post([hold](state& own) { own.hold = hold; });
+}
+
+void fake_entry::Cut() {
+  Post([](state& own) {
+    own.agent = nullptr;
+    own.connections =
+        kj::heap<kj::TaskSet>(static_cast<kj::TaskSet::ErrorHandler&>(own));
+  });
+}
+
+}  // namespace jayrill
--- /dev/null
+++ b/tests/integration/fake_entry.h
@@ -0,0 +1,80 @@
+#ifndef JAYRILL_TESTS_INTEGRATION_FAKE_ENTRY_H_
+#define JAYRILL_TESTS_INTEGRATION_FAKE_ENTRY_H_
+
+#include <kj/async-io.h>
+#include <kj/async-unix.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "jayrill/agent/agent_core.h"
+#include "jayrill/agent/config_copy.h"
+#include "jayrill/base/work_queue.h"
+#include "jayrill/rpc/dispatch.capnp.h"
+
+namespace jayrill {
+
+/// An entry for tests of the agent: serves the RPC interface on a thread of
+/// its own and records what agents send. All functions are for the test's
+/// thread.
+class fake_entry {
+ public:
+  /// What the agent has sent so far.
+  struct record {
+    std::vector<entry_session::opening> hellos;
+    std::vector<config_revision> hello_configs;
+    std::map<start_number, std::vector<task_result>> results;
+    minion_status status;
+    config_revision newest_config;
+    std::uint64_t reports = 0;
+    int goodbyes = 0;
+  };
+
+  explicit fake_entry(std::uint64_t incarnation_value);
+  ~fake_entry();
+  fake_entry(const fake_entry&) = delete;
+  fake_entry& operator=(const fake_entry&) = delete;
+
+  std::string address() const;
+  record Record() const;
+
+  /// Sends \p starts on the current connection. An epoch of 0 stands for that
+  /// of the newest hello.
+  void Send(start_batch batch);
+  void Cancel(start_number number);
+  void Configure(const config_copy& config);
+  void Heartbeat(const std::vector<std::string>& entries);
+
+  /// Sets what the next welcome says.
+  void SetWelcome(const config_copy& config, bool resumed);
+  /// While set, reports are recorded but not acknowledged.
+  void HoldAcknowledgements(bool hold);
+  /// Cuts all connections; the agent may dial again.
+  void Cut();
+
+ private:
+  class port;
+  class session;
+  struct peer;
+  struct state;
+
+  void RunLoop();
+  void Post(std::function<void(state&)> work);
+
+  const std::uint64_t incarnation_;
+  mutable std::mutex mutex_;
+  record record_;
+  unsigned port_ = 0;
+  work_queue inbox_;
+  state* state_ = nullptr;
+  std::thread thread_;
+};
+
+}  // namespace jayrill
+
+#endif  // JAYRILL_TESTS_INTEGRATION_FAKE_ENTRY_H_
