Add settings, help, the ideal and the arrivals of load runs

Cause: the program had no entry point, and the load generator no reproducible input. Change: settings are Abseil flags with environment variables of the same name; a table adds range, unit and commands, and all faults are listed at once with exit code 2. Ideal finish times, Poisson arrivals and traces are plain code without I/O. The commands themselves answer that the build does not have them. Ruled out: absl::ParseCommandLine, which ends the process at the first faulty flag and accepts flags of all commands alike.

--- /dev/null
+++ b/src/jayrill/cli/client_flags.cc
@@ -0,0 +1,64 @@
+#include <absl/flags/flag.h>
+
+#include "jayrill/cli/flags.h"
+
+ABSL_FLAG(
+    std::vector<std::string>,
+    entry,
+    {"127.0.0.1:8080"},
+    "HTTP addresses of entries; load sends to all in turn, other commands "
+    "use the first that answers");
+ABSL_FLAG(std::string, operator_name, "", "Name for the audit trail");
+ABSL_FLAG(std::string,
+          reason,
+          "",
+          "Why the change is made, for the audit trail");
+ABSL_FLAG(std::int64_t,
+          base_revision,
+          -1,
+          "Revision that the change is based on; -1: the current one");
+ABSL_FLAG(std::int64_t, timeout_ms, 5000, "Longest wait for an answer");
+ABSL_FLAG(std::int64_t,
+          wait_ms,
+          11000,
+          "Longest wait until a change is in force everywhere");
+ABSL_FLAG(bool, json, false, "Print JSON instead of a table");
+ABSL_FLAG(std::int64_t,
+          urgency,
+          50,
+          "Urgency of the profile; higher goes first");
+ABSL_FLAG(std::int64_t, max_tasks, 0, "Most tasks of a job; 0: no limit");
+ABSL_FLAG(std::int64_t, max_running, 0, "Most running tasks; 0: no limit");
+ABSL_FLAG(std::int64_t, max_deadline_ms, 0, "Longest deadline; 0: no limit");
+ABSL_FLAG(std::vector<std::string>,
+          data_centres,
+          {},
+          "Data centres that the profile may use; empty: all");
+ABSL_FLAG(std::int64_t, min_cores, 0, "Fewest cores of the minion's worker");
+ABSL_FLAG(std::int64_t,
+          min_memory_mb,
+          0,
+          "Least memory of the minion's worker");
+ABSL_FLAG(std::int64_t,
+          min_accelerators,
+          0,
+          "Fewest accelerators of the minion's worker");
+ABSL_FLAG(std::string, profile, "", "Profile that the service runs under");
+ABSL_FLAG(std::int64_t, limit, 50, "Most audit records to print, newest first");
+ABSL_FLAG(std::int64_t, tasks, 0, "Tasks of the quick job; 0: read a file");
+ABSL_FLAG(std::int64_t, work_ms, 100, "Run time of each task of the quick job");
+ABSL_FLAG(std::string, kind, "quick", "Kind of the tasks of the quick job");
+ABSL_FLAG(std::string, team, "default", "Team that submits the job");
+ABSL_FLAG(std::int64_t,
+          deadline_ms,
+          30000,
+          "Time from its arrival in which a job must be answered");
+ABSL_FLAG(bool,
+          idempotent,
+          true,
+          "Whether the quick job may safely run more than once");
+ABSL_FLAG(std::string,
+          request_key,
+          "",
+          "Key <unix-ms>-<name> of a job that is not idempotent; empty: a new "
+          "one");
--- /dev/null
+++ b/src/jayrill/cli/command.h
@@ -0,0 +1,65 @@
+#ifndef JAYRILL_CLI_COMMAND_H_
+#define JAYRILL_CLI_COMMAND_H_
+
+#include <cstddef>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "jayrill/cli/command_set.h"
+#include "jayrill/cli/settings.h"
+
+namespace jayrill {
+
+inline constexpr int kExitOk = 0;
+inline constexpr int kExitFailed = 1;
+inline constexpr int kExitUsage = 2;
+
+/// What a command works on, besides the Abseil flags.
+struct command_input {
+  std::vector<std::string> positional;
+  resolved_settings settings;
+};
+
+/// One subcommand of the program.
+struct command {
+  std::string_view name;
+  std::string_view arguments;  ///< Positional ones, for help.
+  std::string_view summary;
+  command_set set = kNoCommand;
+  std::size_t min_positional = 0;
+  std::size_t max_positional = 0;
+  /// \returns the exit code.
+  int (*run)(const command_input& input) = nullptr;
+};
+
+/// \returns all commands in the order of the help.
+std::span<const command> AllCommands();
+
+/// \returns the command called \p name, or null.
+const command* FindCommand(std::string_view name);
+
+/// \returns the help of the program.
+std::string ProgramHelp();
+
+/// \returns the help of \p item with its own flags only, sorted.
+std::string CommandHelp(const command& item);
+
+// Implementations, one file each.
+int RunEntry(const command_input& input);
+int RunAgent(const command_input& input);
+int RunSampleBackend(const command_input& input);
+int RunStandalone(const command_input& input);
+int RunSubmit(const command_input& input);
+int RunLoad(const command_input& input);
+int RunProfile(const command_input& input);
+int RunService(const command_input& input);
+int RunTeam(const command_input& input);
+int RunDataCentre(const command_input& input);
+int RunStatus(const command_input& input);
+int RunAudit(const command_input& input);
+
+}  // namespace jayrill
+
+#endif  // JAYRILL_CLI_COMMAND_H_
--- /dev/null
+++ b/src/jayrill/cli/endpoint.h
@@ -0,0 +1,33 @@
+#ifndef JAYRILL_CLI_ENDPOINT_H_
+#define JAYRILL_CLI_ENDPOINT_H_
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace jayrill {
+
+/// An IP address with a port. Host names are not accepted: processes know each
+/// other by address only.
+struct endpoint {
+  std::string ip;
+  std::uint16_t port = 0;
+
+  auto operator<=>(const endpoint&) const = default;
+};
+
+/// \returns the endpoint in \p text, `a.b.c.d:port` or `[v6]:port`, or nothing
+/// when it is malformed.
+std::optional<endpoint> ParseEndpoint(std::string_view text);
+
+/// \returns \p address as `a.b.c.d:port` or `[v6]:port`.
+std::string ToString(const endpoint& address);
+
+/// \returns true for 0.0.0.0 and ::, which others cannot connect to.
+bool IsWildcard(const endpoint& address);
+
+}  // namespace jayrill
+
+#endif  // JAYRILL_CLI_ENDPOINT_H_
--- /dev/null
+++ b/src/jayrill/cli/main.cc
@@ -0,0 +1,116 @@
+#include <glog/logging.h>
+
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include "jayrill/cli/command.h"
+#include "jayrill/cli/text_table.h"
+
+namespace jayrill {
+namespace {
+
+void StartLogging(const char* program) {
+  FLAGS_logtostderr = true;
+  FLAGS_log_prefix = true;
+  google::InitGoogleLogging(program);
+}
+
+int PrintFaults(const std::vector<setting_fault>& faults) {
+  for (const setting_fault& fault : faults) {
+    std::cerr << "jayrill: " << ToString(fault) << "\n";
+  }
+  return kExitUsage;
+}
+
+int UsageError(const std::string& message) {
+  std::cerr << "jayrill: " << message << "\n";
+  return kExitUsage;
+}
+
+int PrintSettings(const resolved_settings& resolved) {
+  text_table table({"SETTING", "VALUE", "UNIT", "SOURCE"});
+  for (const resolved_setting& item : resolved.settings) {
+    table.AddRow({std::string(item.item->name), item.value,
+                  std::string(item.item->unit),
+                  std::string(ToString(item.source))});
+  }
+  std::cout << table.ToString();
+  return resolved.faults.empty() ? kExitOk : PrintFaults(resolved.faults);
+}
+
+void LogWarnings(const resolved_settings& resolved) {
+  for (const std::string& warning : resolved.warnings) {
+    LOG(WARNING) << "settings: " << warning;
+  }
+}
+
+int RunSettings(const parsed_arguments& parsed) {
+  command_set set = kAnyCommand;
+  if (!parsed.positional.empty()) {
+    const command* const asked = FindCommand(parsed.positional.front());
+    if (asked == nullptr) {
+      return UsageError("there is no command '" + parsed.positional.front() +
+                        "'; see jayrill --help");
+    }
+    set = asked->set;
+  }
+  const resolved_settings resolved =
+      ResolveSettings(set, parsed.flags, ReadEnvironment());
+  LogWarnings(resolved);
+  return PrintSettings(resolved);
+}
+
+int RunCommand(const command& item, parsed_arguments parsed) {
+  if (parsed.help) {
+    std::cout << CommandHelp(item);
+    return kExitOk;
+  }
+  const std::size_t count = parsed.positional.size();
+  if (count < item.min_positional || count > item.max_positional) {
+    return UsageError("usage: jayrill " + std::string(item.name) + " " +
+                      std::string(item.arguments) + " [flags]");
+  }
+  if (item.run == nullptr) {
+    return parsed.faults.empty() ? RunSettings(parsed)
+                                 : PrintFaults(parsed.faults);
+  }
+  resolved_settings resolved =
+      ResolveSettings(item.set, parsed.flags, ReadEnvironment());
+  LogWarnings(resolved);
+  resolved.faults.insert(resolved.faults.begin(), parsed.faults.begin(),
+                         parsed.faults.end());
+  if (!resolved.faults.empty()) {
+    return PrintFaults(resolved.faults);
+  }
+  return item.run({std::move(parsed.positional), std::move(resolved)});
+}
+
+int Main(int argc, char** argv) {
+  StartLogging(argv[0]);
+  const std::vector<std::string> arguments(argv + 1, argv + argc);
+  const std::string name = arguments.empty() ? "" : arguments.front();
+  if (name == "--help" || name == "-h" || name == "help") {
+    std::cout << ProgramHelp();
+    return kExitOk;
+  }
+  if (name == "--version") {
+    std::cout << "jayrill " JAYRILL_VERSION "\n";
+    return kExitOk;
+  }
+  const command* const item = FindCommand(name);
+  if (item == nullptr) {
+    return UsageError(name.empty() ? "no command was given; see jayrill --help"
+                                   : "there is no command '" + name +
+                                         "'; see jayrill --help");
+  }
+  return RunCommand(*item,
+                    ParseArguments({arguments.begin() + 1, arguments.end()}));
+}
+
+}  // namespace
+}  // namespace jayrill
+
+int main(int argc, char** argv) {
+  return jayrill::Main(argc, argv);
+}
--- /dev/null
+++ b/src/jayrill/cli/module.cmake
@@ -0,0 +1,12 @@
+jayrill_module(cli
+  SOURCES client_flags.cc command.cc endpoint.cc help.cc load_flags.cc
+          role_flags.cc roles.cc setting_rules.cc settings.cc settings_table.cc
+          text_table.cc
+  DEPENDS jayrill_base jayrill_load absl::flags absl::flags_reflection
+          absl::strings glog::glog Qt6::Core Qt6::Network)
+
+add_executable(jayrill ${CMAKE_CURRENT_LIST_DIR}/main.cc)
+target_compile_options(jayrill PRIVATE ${JAYRILL_WARNINGS})
+target_link_libraries(jayrill PRIVATE jayrill_cli)
+set_target_properties(jayrill PROPERTIES
+  RUNTIME_OUTPUT_DIRECTORY ${PROJECT_BINARY_DIR})
--- /dev/null
+++ b/src/jayrill/cli/settings_table.cc
@@ -0,0 +1,157 @@
+#include <absl/strings/ascii.h>
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <array>
+
+#include "jayrill/cli/setting.h"
+
+namespace jayrill {
+namespace {
+
+using enum setting_form;
+
+constexpr std::string_view kMs = "ms";
+constexpr double kDayMs = 86'400'000;
+constexpr double kMillion = 1e6;
+constexpr command_set kProcesses = kEntry | kAgent;
+constexpr command_set kMinion = kSampleBackend | kStandalone;
+constexpr command_set kCallers = kSubmit | kOperator | kLoad;
+
+// Sorted by name.
+constexpr auto kSettings = std::to_array<setting>({
+    {"agent", kAddress, kSampleBackend, kSampleBackend},
+    {"announce_listen", kListenAddress, kAgent | kStandalone},
+    {"base_revision", kNumber, kChanges, 0, "", -1, 9e15},
+    {"burst_at_ms", kNumber, kLoad, 0, kMs, 0, kDayMs},
+    {"burst_tasks", kNumber, kLoad, 0, "tasks", 0, kMillion},
+    {"connections", kNumber, kLoad, 0, "", 1, 900},
+    {"data_centre", kName, kProcesses, kProcesses},
+    {"data_centres", kText, kProfile},
+    {"deadline_ms", kNumber, kSubmit | kLoad, 0, kMs, 1, kDayMs},
+    {"declared_error", kNumber, kLoad, 0, "", 1, 1000},
+    {"demo", kSwitch, kStandalone},
+    {"duration_ms", kNumber, kLoad, 0, kMs, 1, kDayMs},
+    {"entries", kAddressList, kAgent, kAgent},
+    {"entry", kAddressList, kCallers, kCallers},
+    {"faults", kText, kMinion},
+    {"fleet", kText, kLoad, kLoad},
+    {"http_advertise", kAddress, kEntry},
+    {"http_listen", kListenAddress, kEntry | kStandalone},
+    {"id", kName, kProcesses, kProcesses},
+    {"idempotent", kSwitch, kSubmit},
+    {"idempotent_share", kNumber, kLoad, 0, "", 0, 1},
+    {"json", kSwitch, kCallers},
+    {"kind", kName, kSubmit, kSubmit},
+    {"limit", kNumber, kAudit, 0, "records", 1, 100'000},
+    {"listen", kListenAddress, kMinion},
+    {"load_percent", kNumber, kLoad, 0, "%", 0.1, 1000},
+    {"long_max_ms", kNumber, kLoad, 0, kMs, 1, kDayMs},
+    {"long_min_ms", kNumber, kLoad, 0, kMs, 1, kDayMs},
+    {"long_share", kNumber, kLoad, 0, "", 0, 1},
+    {"max_deadline_ms", kNumber, kProfile, 0, kMs, 0, kDayMs},
+    {"max_running", kNumber, kProfile | kTeam, 0, "tasks", 0, kMillion},
+    {"max_tasks", kNumber, kProfile, 0, "tasks", 0, 1900},
+    {"min_accelerators", kNumber, kProfile, 0, "", 0, 1024},
+    {"min_cores", kNumber, kProfile, 0, "", 0, 4096},
+    {"min_memory_mb", kNumber, kProfile, 0, "MB", 0, 1e8},
+    {"operator_name", kName, kOperator | kLoad, kChanges | kAudit},
+    {"operator_secret", kText, kEntry | kStandalone | kOperator | kLoad,
+     kEntry | kOperator, "", 0, 0, "", setting_privacy::kSecret},
+    {"placement_strategy", kChoice, kEntry | kStandalone, 0, "", 0, 0,
+     "jayrill,random,round_robin,least_of_two"},
+    {"profile", kName, kService},
+    {"queue_limit", kNumber, kAgent | kStandalone, 0, "starts", 1, 100'000},
+    {"rack", kName, kAgent},
+    {"rate", kNumber, kLoad, 0, "jobs/s", 0, 100'000},
+    {"reason", kText, kChanges},
+    {"record", kText, kMinion},
+    {"request_key", kText, kSubmit},
+    {"rpc_advertise", kAddress, kEntry},
+    {"rpc_listen", kListenAddress, kEntry | kStandalone},
+    {"seed", kNumber, kLoad, 0, "", 0, 9e15},
+    {"service", kName, kMinion | kSubmit, kMinion | kSubmit},
+    {"services", kText, kLoad, kLoad},
+    {"slots", kNumber, kMinion, 0, "tasks", 1, 10'000},
+    {"slowness", kNumber, kMinion, 0, "", 0.01, 100},
+    {"store_endpoints", kAddressList, kEntry, kEntry},
+    {"tasks", kNumber, kSubmit, 0, "tasks", 0, 1900},
+    {"tasks_max", kNumber, kLoad, 0, "tasks", 1, 1900},
+    {"tasks_min", kNumber, kLoad, 0, "tasks", 1, 1900},
+    {"team", kName, kSubmit, kSubmit},
+    {"teams", kText, kLoad, kLoad},
+    {"timeout_ms", kNumber, kOperator | kLoad, 0, kMs, 1, kDayMs},
+    {"trace", kText, kLoad},
+    {"trace_out", kText, kLoad},
+    {"urgencies", kText, kLoad},
+    {"urgency", kNumber, kProfile, 0, "", 0, 100},
+    {"wait_ms", kNumber, kChanges, 0, kMs, 0, kDayMs},
+    {"work_max_ms", kNumber, kLoad, 0, kMs, 1, kDayMs},
+    {"work_min_ms", kNumber, kLoad, 0, kMs, 1, kDayMs},
+    {"work_ms", kNumber, kSubmit, 0, kMs, 0, kDayMs},
+    {"worker", kName, kAgent, kAgent},
+});
+
+}  // namespace
+
+std::span<const setting> AllSettings() {
+  return kSettings;
+}
+
+const setting* FindSetting(std::string_view name) {
+  const auto found =
+      std::lower_bound(kSettings.begin(), kSettings.end(), name,
+                       [](const setting& item, std::string_view key) {
+                         return item.name < key;
+                       });
+  return found != kSettings.end() && found->name == name ? found : nullptr;
+}
+
+std::string EnvironmentName(std::string_view name) {
+  return "JAYRILL_" + absl::AsciiStrToUpper({name.data(), name.size()});
+}
+
+std::string AllowedValues(const setting& item) {
+  switch (item.form) {
+    case kNumber:
+      return absl::StrCat(item.min, " to ", item.max);
+    case kChoice:
+      return "one of " + std::string(item.choices);
+    case kName:
+      return "1 to 64 letters, digits, '_', '-' or '.'";
+    case kAddress:
+      return "IP:port with a port of 1 to 65535";
+    case kListenAddress:
+      return "IP:port with a port of 0 to 65535";
+    case kAddressList:
+      return "IP:port,... with ports of 1 to 65535";
+    case kSwitch:
+      return "true or false";
+    case kText:
+      break;
+  }
+  return {};
+}
+
+std::string_view TypeName(const setting& item) {
+  switch (item.form) {
+    case kNumber:
+      return "number";
+    case kChoice:
+      return "choice";
+    case kName:
+      return "name";
+    case kAddress:
+    case kListenAddress:
+      return "IP:port";
+    case kAddressList:
+      return "IP:port,...";
+    case kSwitch:
+      return "switch";
+    case kText:
+      break;
+  }
+  return "text";
+}
+
+}  // namespace jayrill
--- /dev/null
+++ b/src/jayrill/load/poisson_arrivals.cc
@@ -0,0 +1,134 @@
+#include "jayrill/load/poisson_arrivals.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+#include <utility>
+
+namespace jayrill {
+namespace {
+
+using std::chrono::microseconds;
+
+constexpr double kMicrosecondsPerSecond = 1e6;
+
+double Count(microseconds time) {
+  return static_cast<double>(time.count());
+}
+
+microseconds Round(double count) {
+  return microseconds(std::llround(count));
+}
+
+/// \returns the value at \p unit in [0, 1) of a log-uniform distribution.
+double LogUniform(double low, double high, double unit) {
+  return low * std::pow(high / low, unit);
+}
+
+}  // namespace
+
+poisson_arrivals::poisson_arrivals(job_shape shape,
+                                   double rate,
+                                   microseconds duration,
+                                   std::uint64_t seed)
+    : shape_(std::move(shape)),
+      rate_(rate),
+      duration_(duration),
+      random_(seed) {
+  assert(rate > 0 && "the rate must be positive");
+  assert(shape_.tasks_min >= 1 && shape_.tasks_max >= shape_.tasks_min &&
+         "a job must have a task");
+  assert(!shape_.services.empty() && !shape_.teams.empty() &&
+         "a service and a team must be named");
+}
+
+void poisson_arrivals::AddBurst(microseconds offset, std::uint32_t tasks) {
+  burst_offset_ = offset;
+  burst_tasks_ = tasks;
+}
+
+std::optional<planned_job> poisson_arrivals::Next() {
+  if (next_offset_us_ == 0) {
+    // The first gap is drawn too, so that runs do not all begin with a job.
+    next_offset_us_ =
+        -std::log1p(-random_.Unit()) / rate_ * kMicrosecondsPerSecond;
+  }
+  if (burst_tasks_ > 0 && burst_offset_ <= duration_ &&
+      Count(burst_offset_) <= next_offset_us_) {
+    planned_job job = MakeJob(burst_offset_);
+    const auto tasks = static_cast<std::uint32_t>(job.tasks.size());
+    burst_tasks_ -= std::min(burst_tasks_, tasks);
+    return job;
+  }
+  if (next_offset_us_ >= Count(duration_)) {
+    return std::nullopt;
+  }
+  planned_job job = MakeJob(Round(next_offset_us_));
+  next_offset_us_ +=
+      -std::log1p(-random_.Unit()) / rate_ * kMicrosecondsPerSecond;
+  return job;
+}
+
+planned_job poisson_arrivals::MakeJob(microseconds offset) {
+  planned_job job;
+  job.offset = offset;
+  job.service = Draw(shape_.services);
+  job.team = Draw(shape_.teams);
+  job.idempotent = random_.Unit() < shape_.idempotent_share;
+  job.deadline = shape_.deadline;
+  const std::uint64_t count =
+      shape_.tasks_min +
+      random_.Below(shape_.tasks_max - shape_.tasks_min + 1ULL);
+  job.tasks.reserve(count);
+  for (std::uint64_t i = 0; i < count; ++i) {
+    job.tasks.push_back(MakeTask());
+  }
+  return job;
+}
+
+planned_task poisson_arrivals::MakeTask() {
+  const bool is_long = random_.Unit() < shape_.long_share;
+  const double unit = random_.Unit();
+  const double work =
+      is_long
+          ? Count(shape_.long_min) +
+                (unit * (Count(shape_.long_max) - Count(shape_.long_min)))
+          : LogUniform(Count(shape_.work_min), Count(shape_.work_max), unit);
+  const double error = LogUniform(1.0 / shape_.declared_error,
+                                  shape_.declared_error, random_.Unit());
+  const auto band = static_cast<std::uint32_t>(unit * shape_.kinds);
+  planned_task task;
+  task.kind = is_long ? "long" : "band" + std::to_string(band);
+  task.work = Round(work);
+  task.declared = Round(work * error);
+  return task;
+}
+
+const std::string& poisson_arrivals::Draw(
+    const std::vector<weighted_name>& names) {
+  double total = 0;
+  for (const weighted_name& candidate : names) {
+    total += candidate.weight;
+  }
+  double left = random_.Unit() * total;
+  for (const weighted_name& candidate : names) {
+    left -= candidate.weight;
+    if (left < 0) {
+      return candidate.name;
+    }
+  }
+  return names.back().name;
+}
+
+microseconds MeanJobWork(const job_shape& shape) {
+  const double low = Count(shape.work_min);
+  const double high = Count(shape.work_max);
+  const double mean_short =
+      high > low ? (high - low) / std::log(high / low) : low;
+  const double mean_long = (Count(shape.long_min) + Count(shape.long_max)) / 2;
+  const double mean_task =
+      (mean_short * (1 - shape.long_share)) + (mean_long * shape.long_share);
+  return Round(mean_task * (shape.tasks_min + shape.tasks_max) / 2.0);
+}
+
+}  // namespace jayrill
