Add submit, load and the operator commands

Cause: jobs, operator changes and measurements needed a client. Change: operator commands read the current revision, send it as the base and say where the accepted one is in force. load sends open-loop, counts latency from the intended send time, spreads requests over network managers so that Qt queues none of them, and reports response time over the ideal. Ruled out: one network manager for all requests, which opens six connections to a host and queues the rest unseen.

--- a/src/jayrill/cli/module.cmake
+++ b/src/jayrill/cli/module.cmake
@@ -1,7 +1,9 @@
 jayrill_module(cli
-  SOURCES client_flags.cc command.cc endpoint.cc help.cc load_flags.cc
-          role_flags.cc roles.cc setting_rules.cc settings.cc settings_table.cc
-          text_table.cc
+  SOURCES client_flags.cc command.cc config_commands.cc endpoint.cc
+          force_report.cc help.cc http_call.cc load_command.cc load_flags.cc
+          load_setup.cc operator_client.cc operator_session.cc role_flags.cc
+          roles.cc setting_rules.cc settings.cc settings_table.cc
+          status_commands.cc stop_signal.cc submit_command.cc text_table.cc
   DEPENDS jayrill_base jayrill_load absl::flags absl::flags_reflection
           absl::strings glog::glog Qt6::Core Qt6::Network)
 
--- /dev/null
+++ b/src/jayrill/cli/quick_job.h
@@ -0,0 +1,13 @@
+#ifndef JAYRILL_CLI_QUICK_JOB_H_
+#define JAYRILL_CLI_QUICK_JOB_H_
+
+#include <QByteArray>
+
+namespace jayrill {
+
+/// \returns the JSON body of the job that the flags of `submit` describe.
+QByteArray QuickJobFromFlags();
+
+}  // namespace jayrill
+
+#endif  // JAYRILL_CLI_QUICK_JOB_H_
--- a/src/jayrill/cli/roles.cc
+++ b/src/jayrill/cli/roles.cc
@@ -4,10 +4,12 @@
 
 namespace jayrill {
 namespace {
+
 int NotAvailable() {
   std::cerr << "jayrill: this build does not have the command\n";
   return kExitFailed;
 }
+
 }  // namespace
 
 int RunEntry(const command_input& /*input*/) {
@@ -22,28 +24,5 @@
 int RunStandalone(const command_input& /*input*/) {
   return NotAvailable();
 }
-int RunSubmit(const command_input& /*input*/) {
-  return NotAvailable();
-}
-int RunLoad(const command_input& /*input*/) {
-  return NotAvailable();
-}
-int RunProfile(const command_input& /*input*/) {
-  return NotAvailable();
-}
-int RunService(const command_input& /*input*/) {
-  return NotAvailable();
-}
-int RunTeam(const command_input& /*input*/) {
-  return NotAvailable();
-}
-int RunDataCentre(const command_input& /*input*/) {
-  return NotAvailable();
-}
-int RunStatus(const command_input& /*input*/) {
-  return NotAvailable();
-}
-int RunAudit(const command_input& /*input*/) {
-  return NotAvailable();
-}
+
 }  // namespace jayrill
--- a/src/jayrill/cli/setting_rules.cc
+++ b/src/jayrill/cli/setting_rules.cc
@@ -20,13 +20,6 @@
 
 constexpr std::size_t kMaxName = 64;
 
-bool IsName(const std::string& value) {
-  return value.size() <= kMaxName &&
-         std::all_of(value.begin(), value.end(), [](unsigned char c) {
-           return absl::ascii_isalnum(c) || c == '_' || c == '-' || c == '.';
-         });
-}
-
 bool IsAddress(const std::string& value, bool any_port) {
   const std::optional<endpoint> address = ParseEndpoint(value);
   return address && (any_port || address->port != 0);
@@ -54,7 +47,7 @@
 bool IsAllowed(const setting& item, const std::string& value) {
   switch (item.form) {
     case kName:
-      return IsName(value);
+      return IsSettingName(value);
     case kAddress:
       return IsAddress(value, false);
     case kListenAddress:
@@ -170,6 +163,13 @@
 
 }  // namespace
 
+bool IsSettingName(const std::string& text) {
+  return !text.empty() && text.size() <= kMaxName &&
+         std::all_of(text.begin(), text.end(), [](unsigned char c) {
+           return absl::ascii_isalnum(c) || c == '_' || c == '-' || c == '.';
+         });
+}
+
 std::optional<setting_problem> CheckValue(const setting& item,
                                           const std::string& value,
                                           command_set commands) {
--- a/src/jayrill/cli/settings_table.cc
+++ b/src/jayrill/cli/settings_table.cc
@@ -28,7 +28,7 @@
     {"connections", kNumber, kLoad, 0, "", 1, 900},
     {"data_centre", kName, kProcesses, kProcesses},
     {"data_centres", kText, kProfile},
-    {"deadline_ms", kNumber, kSubmit | kLoad, 0, kMs, 1, kDayMs},
+    {"deadline_ms", kNumber, kSubmit | kLoad, 0, kMs, 1, 600'000},
     {"declared_error", kNumber, kLoad, 0, "", 1, 1000},
     {"demo", kSwitch, kStandalone},
     {"duration_ms", kNumber, kLoad, 0, kMs, 1, kDayMs},
--- /dev/null
+++ b/src/jayrill/cli/submit_command.cc
@@ -0,0 +1,108 @@
+#include <absl/flags/flag.h>
+#include <absl/strings/str_cat.h>
+
+#include <QCoreApplication>
+#include <QFile>
+#include <chrono>
+#include <iostream>
+#include <iterator>
+
+#include "jayrill/base/clock.h"
+#include "jayrill/base/random_source.h"
+#include "jayrill/cli/command.h"
+#include "jayrill/cli/flags.h"
+#include "jayrill/cli/http_call.h"
+#include "jayrill/cli/operator_client.h"
+#include "jayrill/cli/operator_session.h"
+#include "jayrill/cli/quick_job.h"
+#include "jayrill/load/job_request.h"
+
+namespace jayrill {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kFirstFailure = 300;
+/// The job's own deadline ends the wait; this only ends a wait for an entry
+/// that is gone.
+constexpr milliseconds kLongestJob{610'000};
+
+result<QByteArray> ReadJob(const command_input& input) {
+  if (absl::GetFlag(FLAGS_tasks) > 0) {
+    return QuickJobFromFlags();
+  }
+  const std::string name =
+      input.positional.empty() ? "-" : input.positional.front();
+  if (name == "-") {
+    return QByteArray::fromStdString(
+        std::string(std::istreambuf_iterator<char>(std::cin), {}));
+  }
+  QFile file(QString::fromStdString(name));
+  if (!file.open(QIODevice::ReadOnly)) {
+    return MakeError(error_kind::kInvalidArgument,
+                     name + ": " + file.errorString().toStdString(),
+                     "name a readable file with a job as JSON");
+  }
+  return file.readAll();
+}
+
+/// \returns the error of a failed job with its effect in the message.
+error ReadJobError(const http_answer& answer) {
+  const job_answer_summary summary =
+      ReadJobAnswer(answer.status, answer.body, 0);
+  error failure = ReadError(answer.status, answer.Json());
+  failure.message = absl::StrCat("the job failed (", summary.effect, ", ",
+                                 summary.code, "): ", failure.message);
+  return failure;
+}
+
+}  // namespace
+
+QByteArray QuickJobFromFlags() {
+  planned_job job;
+  job.service = absl::GetFlag(FLAGS_service);
+  job.team = absl::GetFlag(FLAGS_team);
+  job.idempotent = absl::GetFlag(FLAGS_idempotent);
+  job.deadline = milliseconds(absl::GetFlag(FLAGS_deadline_ms));
+  const milliseconds work(absl::GetFlag(FLAGS_work_ms));
+  job.tasks.assign(static_cast<std::size_t>(absl::GetFlag(FLAGS_tasks)),
+                   {absl::GetFlag(FLAGS_kind), work, work});
+  std::string key = absl::GetFlag(FLAGS_request_key);
+  if (!job.idempotent && key.empty()) {
+    random_source random = random_source::FromSystem();
+    key = absl::StrCat(system_clock().WallNow().time_since_epoch().count(),
+                       "-submit-", absl::Hex(random()));
+  }
+  return EncodeJobRequest(job, key);
+}
+
+int RunSubmit(const command_input& input) {
+  int argc = 0;
+  const QCoreApplication application(argc, nullptr);
+  const result<QByteArray> body = ReadJob(input);
+  if (!body) {
+    return operator_session::Fail(body.error());
+  }
+  http_call call;
+  call.method = "POST";
+  call.path = "/v1/jobs";
+  call.body = *body;
+  call.timeout = kLongestJob;
+  result<http_answer> answer = MakeError(
+      error_kind::kUnavailable, "no entry was named", "give --entry=IP:port");
+  for (const std::string& entry : absl::GetFlag(FLAGS_entry)) {
+    answer = Send(entry, call);
+    if (answer || answer.error().kind != error_kind::kUnavailable) {
+      break;
+    }
+  }
+  if (!answer) {
+    return operator_session::Fail(answer.error());
+  }
+  std::cout << answer->body.toStdString() << "\n";
+  return answer->status < kFirstFailure
+             ? kExitOk
+             : operator_session::Fail(ReadJobError(*answer));
+}
+
+}  // namespace jayrill
--- a/src/jayrill/load.h
+++ b/src/jayrill/load.h
@@ -7,6 +7,7 @@
 
 #include "jayrill/load/arrival_source.h"
 #include "jayrill/load/ideal.h"
+#include "jayrill/load/job_request.h"
 #include "jayrill/load/load_report.h"
 #include "jayrill/load/load_runner.h"
 #include "jayrill/load/metric_totals.h"
@@ -14,6 +15,8 @@
 #include "jayrill/load/poisson_arrivals.h"
 #include "jayrill/load/ratio_histogram.h"
 #include "jayrill/load/report_format.h"
+#include "jayrill/load/request_pool.h"
 #include "jayrill/load/trace.h"
+#include "jayrill/load/weighted_names.h"
 
 #endif  // JAYRILL_LOAD_H_
--- /dev/null
+++ b/src/jayrill/load/load_report.cc
@@ -0,0 +1,79 @@
+#include "jayrill/load/load_report.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace jayrill {
+namespace {
+
+using std::chrono::microseconds;
+
+constexpr double kMicrosecondsPerMillisecond = 1e3;
+constexpr double kMicrosecondsPerSecond = 1e6;
+
+double Count(microseconds time) {
+  return static_cast<double>(time.count());
+}
+
+}  // namespace
+
+void load_report::OnSent(microseconds lateness) {
+  ++sent_;
+  if (lateness >= kLateAfter) {
+    ++late_sends_;
+  }
+  max_lateness_ = std::max(max_lateness_, lateness);
+}
+
+void load_report::OnEnd(const job_sample& sample) {
+  ++ended_;
+  if (!sample.whole) {
+    if (sample.effect == "not_run") {
+      ++refused_;
+    }
+    ++failures_[sample.effect + "/" + sample.code];
+    return;
+  }
+  ++whole_;
+  if (sample.latency <= sample.deadline) {
+    ++whole_by_deadline_;
+  }
+  tasks_completed_ += sample.tasks;
+  latencies_ms_.Add(Count(sample.latency) / kMicrosecondsPerMillisecond);
+  // A job of tasks without work has no ideal to compare with.
+  if (sample.ideal.count() > 0) {
+    const double ratio = Count(sample.latency) / Count(sample.ideal);
+    ratios_.Add(ratio);
+    team_figures& team = teams_[sample.team];
+    ++team.whole;
+    team.slowdown_sum += ratio;
+  }
+}
+
+double load_report::TaskRate() const {
+  return elapsed_.count() == 0 ? 0
+                               : static_cast<double>(tasks_completed_) *
+                                     kMicrosecondsPerSecond / Count(elapsed_);
+}
+
+double load_report::Fairness() const {
+  std::vector<double> slowdowns;
+  for (const auto& [name, team] : teams_) {
+    slowdowns.push_back(team.MeanSlowdown());
+  }
+  return JainIndex(slowdowns);
+}
+
+double JainIndex(std::span<const double> values) {
+  double sum = 0;
+  double squares = 0;
+  for (const double value : values) {
+    sum += value;
+    squares += value * value;
+  }
+  return squares == 0
+             ? 1
+             : sum * sum / (static_cast<double>(values.size()) * squares);
+}
+
+}  // namespace jayrill
--- a/src/jayrill/load/poisson_arrivals.cc
+++ b/src/jayrill/load/poisson_arrivals.cc
@@ -20,6 +20,12 @@
   return microseconds(std::llround(count));
 }
 
+/// Run times are sent in whole milliseconds, so they are planned as such.
+microseconds RoundToMs(double count) {
+  return std::max(std::chrono::round<std::chrono::milliseconds>(Round(count)),
+                  std::chrono::milliseconds(1));
+}
+
 /// \returns the value at \p unit in [0, 1) of a log-uniform distribution.
 double LogUniform(double low, double high, double unit) {
   return low * std::pow(high / low, unit);
@@ -99,8 +105,8 @@
   const auto band = static_cast<std::uint32_t>(unit * shape_.kinds);
   planned_task task;
   task.kind = is_long ? "long" : "band" + std::to_string(band);
-  task.work = Round(work);
-  task.declared = Round(work * error);
+  task.work = RoundToMs(work);
+  task.declared = RoundToMs(work * error);
   return task;
 }
 
--- /dev/null
+++ b/src/jayrill/load/report_format.cc
@@ -0,0 +1,147 @@
+#include "jayrill/load/report_format.h"
+
+#include <absl/strings/str_format.h>
+
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <optional>
+
+namespace jayrill {
+namespace {
+
+constexpr double kMicrosecondsPerMillisecond = 1e3;
+constexpr double kMicrosecondsPerSecond = 1e6;
+constexpr double kMedian = 0.5;
+constexpr double kP90 = 0.9;
+constexpr double kP99 = 0.99;
+constexpr double kPercent = 100.0;
+
+double Seconds(std::chrono::microseconds time) {
+  return static_cast<double>(time.count()) / kMicrosecondsPerSecond;
+}
+
+double Milliseconds(std::chrono::microseconds time) {
+  return static_cast<double>(time.count()) / kMicrosecondsPerMillisecond;
+}
+
+std::optional<double> Quotient(std::optional<double> a,
+                               std::optional<double> b) {
+  return a && b && *b > 0 ? std::optional<double>(*a / *b) : std::nullopt;
+}
+
+/// \returns messages per completed task.
+std::optional<double> MessagesPerTask(const load_report& report) {
+  return Quotient(report.messages().messages,
+                  static_cast<double>(report.tasks_completed()));
+}
+
+std::string Distribution(const char* name,
+                         const char* unit,
+                         const ratio_histogram& values) {
+  return absl::StrFormat(
+      "%-22s median %.3f%s, 90th %.3f%s, 99th %.3f%s, maximum %.3f%s\n", name,
+      values.Quantile(kMedian), unit, values.Quantile(kP90), unit,
+      values.Quantile(kP99), unit, values.max(), unit);
+}
+
+QJsonObject EncodeDistribution(const ratio_histogram& values) {
+  return {{QStringLiteral("median"), values.Quantile(kMedian)},
+          {QStringLiteral("p90"), values.Quantile(kP90)},
+          {QStringLiteral("p99"), values.Quantile(kP99)},
+          {QStringLiteral("max"), values.max()},
+          {QStringLiteral("mean"), values.mean()},
+          {QStringLiteral("count"), static_cast<qint64>(values.count())}};
+}
+
+QJsonValue OrNull(std::optional<double> value) {
+  return value ? QJsonValue(*value) : QJsonValue();
+}
+
+QJsonValue Number(std::uint64_t value) {
+  return {static_cast<qint64>(value)};
+}
+
+std::string FormatMessages(const load_report& report) {
+  const std::optional<double> per_task = MessagesPerTask(report);
+  const std::optional<double> wasted =
+      Quotient(report.messages().wasted, report.messages().messages);
+  std::string text = absl::StrFormat("%-22s ", "messages");
+  text += per_task ? absl::StrFormat("%.2f per completed task", *per_task)
+                   : "not known";
+  text += wasted ? absl::StrFormat(", wasted %.2f %%", *wasted * kPercent)
+                 : ", wasted not known";
+  return text + "\n";
+}
+
+}  // namespace
+
+std::string FormatReport(const load_report& report) {
+  std::string text =
+      Distribution("response over ideal", "", report.ratios()) +
+      Distribution("response time", " ms", report.latencies_ms());
+  text += absl::StrFormat(
+      "%-22s %d sent, %d whole (%d by deadline), %d refused as not run, "
+      "%d failed\n",
+      "jobs", report.sent(), report.whole(), report.whole_by_deadline(),
+      report.refused(), report.failed());
+  for (const auto& [name, count] : report.failures()) {
+    text += absl::StrFormat("  %-20s %d\n", name, count);
+  }
+  text += absl::StrFormat("%-22s %d completed in %.1f s, %.1f per second\n",
+                          "tasks", report.tasks_completed(),
+                          Seconds(report.elapsed()), report.TaskRate());
+  text += FormatMessages(report);
+  text += absl::StrFormat("%-22s Jain's index %.4f on mean slowdown\n",
+                          "fairness of teams", report.Fairness());
+  for (const auto& [name, team] : report.teams()) {
+    text += absl::StrFormat("  %-20s %d whole, mean slowdown %.3f\n", name,
+                            team.whole, team.MeanSlowdown());
+  }
+  text += absl::StrFormat("%-22s %d of %d, at most %.1f ms\n", "late sends",
+                          report.late_sends(), report.sent(),
+                          Milliseconds(report.max_lateness()));
+  return text;
+}
+
+std::string EncodeReport(const load_report& report) {
+  QJsonObject failures;
+  for (const auto& [name, count] : report.failures()) {
+    failures.insert(QString::fromStdString(name), Number(count));
+  }
+  QJsonObject teams;
+  for (const auto& [name, team] : report.teams()) {
+    teams.insert(
+        QString::fromStdString(name),
+        QJsonObject{{QStringLiteral("whole"), Number(team.whole)},
+                    {QStringLiteral("mean_slowdown"), team.MeanSlowdown()}});
+  }
+  const metric_totals& messages = report.messages();
+  const QJsonObject object{
+      {QStringLiteral("response_over_ideal"),
+       EncodeDistribution(report.ratios())},
+      {QStringLiteral("response_ms"),
+       EncodeDistribution(report.latencies_ms())},
+      {QStringLiteral("jobs_sent"), Number(report.sent())},
+      {QStringLiteral("jobs_whole"), Number(report.whole())},
+      {QStringLiteral("jobs_whole_by_deadline"),
+       Number(report.whole_by_deadline())},
+      {QStringLiteral("jobs_refused"), Number(report.refused())},
+      {QStringLiteral("jobs_failed"), Number(report.failed())},
+      {QStringLiteral("failures"), failures},
+      {QStringLiteral("tasks_completed"), Number(report.tasks_completed())},
+      {QStringLiteral("tasks_per_second"), report.TaskRate()},
+      {QStringLiteral("elapsed_s"), Seconds(report.elapsed())},
+      {QStringLiteral("messages"), OrNull(messages.messages)},
+      {QStringLiteral("wasted_messages"), OrNull(messages.wasted)},
+      {QStringLiteral("starts"), OrNull(messages.starts)},
+      {QStringLiteral("messages_per_task"), OrNull(MessagesPerTask(report))},
+      {QStringLiteral("wasted_share"),
+       OrNull(Quotient(messages.wasted, messages.messages))},
+      {QStringLiteral("fairness"), report.Fairness()},
+      {QStringLiteral("teams"), teams},
+      {QStringLiteral("late_sends"), Number(report.late_sends())},
+      {QStringLiteral("max_lateness_ms"), Milliseconds(report.max_lateness())}};
+  return QJsonDocument(object).toJson(QJsonDocument::Compact).toStdString();
+}
+
+}  // namespace jayrill
--- /dev/null
+++ b/src/jayrill/load/request_pool.cc
@@ -0,0 +1,53 @@
+#include "jayrill/load/request_pool.h"
+
+#include <QNetworkProxy>
+#include <QObject>
+#include <cassert>
+#include <utility>
+
+namespace jayrill {
+
+request_pool::request_pool(std::size_t targets, std::size_t connections)
+    : targets_(targets), connections_(connections), in_flight_(targets, 0) {}
+
+bool request_pool::Post(std::size_t target,
+                        const QNetworkRequest& request,
+                        const QByteArray& body,
+                        done_callback done) {
+  assert(target < targets_ && "the target must exist");
+  manager* const chosen = FindManager(target);
+  if (chosen == nullptr) {
+    return false;
+  }
+  ++chosen->in_flight[target];
+  ++in_flight_[target];
+  QNetworkReply* const reply = chosen->network->post(request, body);
+  QObject::connect(reply, &QNetworkReply::finished, reply,
+                   [this, chosen, target, reply, done = std::move(done)] {
+                     --chosen->in_flight[target];
+                     --in_flight_[target];
+                     reply->deleteLater();
+                     done(*reply);
+                   });
+  return true;
+}
+
+request_pool::manager* request_pool::FindManager(std::size_t target) {
+  if (in_flight_[target] >= connections_) {
+    return nullptr;
+  }
+  for (const std::unique_ptr<manager>& candidate : managers_) {
+    if (candidate->in_flight[target] < kConnectionsPerManager) {
+      return candidate.get();
+    }
+  }
+  auto added = std::make_unique<manager>();
+  added->network = std::make_unique<QNetworkAccessManager>();
+  added->network->setProxy(QNetworkProxy::NoProxy);
+  added->network->setTransferTimeout(0);
+  added->in_flight.assign(targets_, 0);
+  managers_.push_back(std::move(added));
+  return managers_.back().get();
+}
+
+}  // namespace jayrill
