Add metrics, the HTTP guard, the job codec and POST /v1/jobs

QHttpServer 6.4.2 has no limits and answers to callers that have gone crash it: a responder keeps a plain pointer to its socket. While a reply is pending it also handles the next pipelined request, so that answers change places.

A filter at QTcpServer that only counts bytes was ruled out, since it cannot hold back pipelined requests. The guard therefore hands out a socket that stands in front of the real one and passes on one whole, checked request at a time.

--- /dev/null
+++ b/src/jayrill/entry/guarded_socket.cc
@@ -0,0 +1,219 @@
+#include "jayrill/entry/guarded_socket.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cstring>
+#include <utility>
+
+namespace jayrill {
+namespace {
+
+// Bounds what one connection can occupy beside its request. While a request is
+// handled, further bytes wait here and then in the kernel.
+constexpr qint64 kReadBuffer = qint64{64} * 1024;
+
+}  // namespace
+
+guarded_socket::guarded_socket(qintptr descriptor, shared_state& shared)
+    : shared_(shared),
+      framer_(shared.limits.max_header, shared.limits.max_body) {
+  inner_.setReadBufferSize(kReadBuffer);
+  inner_.setSocketDescriptor(descriptor);
+  inner_.setSocketOption(QAbstractSocket::LowDelayOption, 1);
+  inner_.setSocketOption(QAbstractSocket::KeepAliveOption, 1);
+  setOpenMode(QIODevice::ReadWrite | QIODevice::Unbuffered);
+  setSocketState(QAbstractSocket::ConnectedState);
+  setPeerAddress(inner_.peerAddress());
+  timer_.setSingleShot(true);
+  connect(&inner_, &QTcpSocket::readyRead, this, [this] { OnReadable(); });
+  connect(&inner_, &QTcpSocket::bytesWritten, this, [this] { OnWritten(); });
+  connect(&inner_, &QTcpSocket::disconnected, this, [this] { Finish(); });
+  connect(&timer_, &QTimer::timeout, this, [this] { OnTimeout(); });
+  timer_.start(shared_.limits.idle_time);
+}
+
+guarded_socket::~guarded_socket() {
+  inner_.disconnect(this);
+  SetBuffer({});
+  if (exchange_) {
+    std::exchange(exchange_, nullptr)->MarkGone();
+  }
+  // The base class would otherwise close a connection that it does not have.
+  setSocketState(QAbstractSocket::UnconnectedState);
+}
+
+void guarded_socket::BeginExchange(exchange_ptr exchange) {
+  exchange_ = std::move(exchange);
+}
+
+void guarded_socket::EndExchange() {
+  exchange_ = nullptr;
+  if (state_ != state::kHandling) {
+    return;
+  }
+  state_ = state::kWriting;
+  timer_.start(shared_.limits.write_time);
+  inner_.flush();
+  // Queued, because QHttpServer is still on the stack when a handler replies
+  // at once, and to keep a long row of pipelined requests off the stack.
+  QMetaObject::invokeMethod(
+      this, [this] { OnWritten(); }, Qt::QueuedConnection);
+}
+
+bool guarded_socket::ClosesAfterReply() const {
+  return close_after_reply_ || shared_.stopping;
+}
+
+void guarded_socket::Stop() {
+  if (state_ == state::kReading && buffer_.isEmpty() &&
+      inner_.bytesAvailable() == 0) {
+    inner_.disconnectFromHost();
+  }
+}
+
+qint64 guarded_socket::bytesAvailable() const {
+  return QIODevice::bytesAvailable() + delivered_.size();
+}
+
+qint64 guarded_socket::bytesToWrite() const {
+  return inner_.bytesToWrite();
+}
+
+void guarded_socket::disconnectFromHost() {
+  inner_.disconnectFromHost();
+}
+
+qint64 guarded_socket::readData(char* data, qint64 max_size) {
+  const qint64 size = std::min<qint64>(max_size, delivered_.size());
+  if (size > 0) {
+    std::memcpy(data, delivered_.constData(), static_cast<std::size_t>(size));
+    delivered_.remove(0, size);
+  }
+  return size;
+}
+
+qint64 guarded_socket::writeData(const char* data, qint64 size) {
+  // Once the connection is closed, bytes are dropped and reported as written.
+  return state_ == state::kHandling ? inner_.write(data, size) : size;
+}
+
+void guarded_socket::OnReadable() {
+  if (state_ == state::kLingering) {
+    inner_.readAll();
+  } else if (state_ == state::kReading) {
+    ReadRequests();
+  }
+}
+
+void guarded_socket::ReadRequests() {
+  SetBuffer(buffer_ + inner_.readAll());
+  while (buffer_.startsWith("\r\n")) {
+    SetBuffer(buffer_.mid(2));  // Some callers end a body with an empty line.
+  }
+  if (buffer_.isEmpty()) {
+    return;
+  }
+  if (timer_.intervalAsDuration() != shared_.limits.request_time ||
+      !timer_.isActive()) {
+    timer_.start(shared_.limits.request_time);
+  }
+  const auto size = static_cast<std::size_t>(buffer_.size());
+  if (auto refusal = framer_.Examine({buffer_.constData(), size})) {
+    Refuse(*refusal);
+  } else if (const std::size_t complete = framer_.CompleteSize(size)) {
+    Deliver(complete);
+  } else if (shared_.buffered > shared_.limits.max_buffered) {
+    Refuse({503, "busy", "too many requests are being received",
+            "submit again later"});
+  } else if (framer_.expects_continue() && !continue_sent_) {
+    continue_sent_ = true;
+    inner_.write("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+}
+
+void guarded_socket::Deliver(std::size_t size) {
+  delivered_ = buffer_.left(static_cast<qsizetype>(size));
+  SetBuffer(buffer_.mid(static_cast<qsizetype>(size)));
+  close_after_reply_ = !framer_.keep_alive();
+  framer_.Reset();
+  continue_sent_ = false;
+  state_ = state::kHandling;
+  timer_.stop();
+  Q_EMIT readyRead();
+  delivered_.clear();
+  if (state_ == state::kHandling && !exchange_) {
+    Refuse({400, "invalid_request", "the request cannot be read",
+            "correct the request line and the header fields"});
+  }
+}
+
+void guarded_socket::OnWritten() {
+  if (state_ == state::kLingering && inner_.bytesToWrite() == 0) {
+    ::shutdown(static_cast<int>(inner_.socketDescriptor()), SHUT_WR);
+    return;
+  }
+  if (state_ != state::kWriting) {
+    return;
+  }
+  if (inner_.bytesToWrite() > 0) {
+    timer_.start(shared_.limits.write_time);
+    return;
+  }
+  if (ClosesAfterReply()) {
+    Linger();
+    return;
+  }
+  state_ = state::kReading;
+  timer_.start(shared_.limits.idle_time);
+  ReadRequests();
+}
+
+void guarded_socket::OnTimeout() {
+  if (state_ == state::kReading && !buffer_.isEmpty()) {
+    Refuse({408, "request_timeout", "the request did not arrive in time",
+            "send the whole request within 10 s"});
+  } else {
+    inner_.abort();
+    Finish();
+  }
+}
+
+void guarded_socket::Refuse(const http_refusal& refusal) {
+  if (shared_.on_refusal) {
+    shared_.on_refusal(refusal.code);
+  }
+  inner_.write(QByteArray::fromStdString(EncodeRefusal(refusal)));
+  Linger();
+}
+
+void guarded_socket::Linger() {
+  state_ = state::kLingering;
+  SetBuffer({});
+  timer_.start(shared_.limits.linger_time);
+  inner_.flush();
+  inner_.readAll();
+  OnWritten();
+}
+
+void guarded_socket::Finish() {
+  if (std::exchange(state_, state::kClosed) == state::kClosed) {
+    return;
+  }
+  timer_.stop();
+  SetBuffer({});
+  if (exchange_) {
+    std::exchange(exchange_, nullptr)->MarkGone();
+  }
+  setSocketState(QAbstractSocket::UnconnectedState);
+  Q_EMIT disconnected();
+  deleteLater();
+}
+
+void guarded_socket::SetBuffer(QByteArray buffer) {
+  shared_.buffered -= static_cast<std::size_t>(buffer_.size());
+  buffer_ = std::move(buffer);
+  shared_.buffered += static_cast<std::size_t>(buffer_.size());
+}
+
+}  // namespace jayrill
--- /dev/null
+++ b/src/jayrill/entry/http_exchange.cc
@@ -0,0 +1,26 @@
+#include "jayrill/entry/http_exchange.h"
+
+#include <utility>
+
+namespace jayrill {
+
+std::string_view http_request::Header(const std::string& name) const {
+  const auto found = headers.find(name);
+  return found == headers.end() ? std::string_view() : found->second;
+}
+
+void http_exchange::Reply(const http_response& response) {
+  on_gone_ = nullptr;
+  if (const writer write = std::exchange(write_, nullptr)) {
+    write(response);
+  }
+}
+
+void http_exchange::MarkGone() {
+  write_ = nullptr;
+  if (const auto listener = std::exchange(on_gone_, nullptr)) {
+    listener();
+  }
+}
+
+}  // namespace jayrill
--- /dev/null
+++ b/src/jayrill/entry/http_guard.cc
@@ -0,0 +1,81 @@
+#include "jayrill/entry/http_guard.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace jayrill {
+
+http_guard::http_guard(http_limits limits, metric_registry& metrics)
+    : metrics_(metrics),
+      connections_gauge_(
+          metrics.Gauge("jayrill_http_connections", "Open HTTP connections.")) {
+  shared_.limits = limits;
+  shared_.on_refusal = [this](const std::string& code) {
+    metrics_
+        .Counter("jayrill_http_refusals_total",
+                 "Requests and connections refused before any handler.",
+                 {{"code", code}})
+        .Add();
+  };
+}
+
+http_guard::~http_guard() {
+  for (QObject* socket : std::exchange(sockets_, {})) {
+    socket->disconnect(this);
+    delete socket;
+  }
+}
+
+void http_guard::incomingConnection(qintptr descriptor) {
+  if (sockets_.size() >= shared_.limits.max_connections) {
+    RefuseConnection(descriptor);
+    return;
+  }
+  auto* socket = new guarded_socket(descriptor, shared_);
+  sockets_.insert(socket);
+  connections_gauge_.Set(static_cast<std::int64_t>(sockets_.size()));
+  connect(socket, &QObject::destroyed, this,
+          [this](QObject* closed) { OnClosed(closed); });
+  addPendingConnection(socket);
+}
+
+void http_guard::RefuseConnection(qintptr descriptor) {
+  const std::string refusal =
+      EncodeRefusal({503, "too_many_connections",
+                     "the entry has " + std::to_string(sockets_.size()) +
+                         " connections, which is its limit",
+                     "reuse connections or submit to another entry"});
+  const int fd = static_cast<int>(descriptor);
+  // A new connection has an empty send buffer, so this does not block.
+  ::send(fd, refusal.data(), refusal.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+  ::close(fd);
+  shared_.on_refusal("too_many_connections");
+}
+
+void http_guard::OnClosed(QObject* socket) {
+  sockets_.erase(socket);
+  connections_gauge_.Set(static_cast<std::int64_t>(sockets_.size()));
+  if (sockets_.empty() && stopped_) {
+    std::exchange(stopped_, nullptr)();
+  }
+}
+
+void http_guard::Stop(std::function<void()> stopped) {
+  close();
+  shared_.stopping = true;
+  if (sockets_.empty()) {
+    stopped();
+    return;
+  }
+  stopped_ = std::move(stopped);
+  const std::vector<QObject*> sockets(sockets_.begin(), sockets_.end());
+  for (QObject* socket : sockets) {
+    static_cast<guarded_socket*>(socket)->Stop();
+  }
+}
+
+}  // namespace jayrill
--- /dev/null
+++ b/src/jayrill/entry/http_guard.h
@@ -0,0 +1,43 @@
+#ifndef JAYRILL_ENTRY_HTTP_GUARD_H_
+#define JAYRILL_ENTRY_HTTP_GUARD_H_
+
+#include <QtNetwork/QTcpServer>
+#include <functional>
+#include <set>
+
+#include "jayrill/entry/guarded_socket.h"
+#include "jayrill/entry/http_limits.h"
+#include "jayrill/metrics.h"
+
+namespace jayrill {
+
+/// Accepts the connections of QHttpServer, which has no limits of its own, and
+/// puts a guarded_socket in front of each.
+class http_guard final : public QTcpServer {
+ public:
+  http_guard(http_limits limits, metric_registry& metrics);
+  ~http_guard() override;
+
+  /// Accepts no further connection, closes idle ones and calls \p stopped when
+  /// the last one is closed. Requests that have begun are answered.
+  void Stop(std::function<void()> stopped);
+
+  std::size_t connections() const { return sockets_.size(); }
+
+ protected:
+  void incomingConnection(qintptr descriptor) override;
+
+ private:
+  void RefuseConnection(qintptr descriptor);
+  void OnClosed(QObject* socket);
+
+  guarded_socket::shared_state shared_;
+  metric_registry& metrics_;
+  gauge& connections_gauge_;
+  std::set<QObject*> sockets_;
+  std::function<void()> stopped_;
+};
+
+}  // namespace jayrill
+
+#endif  // JAYRILL_ENTRY_HTTP_GUARD_H_
--- /dev/null
+++ b/src/jayrill/entry/http_server.cc
@@ -0,0 +1,142 @@
+#include "jayrill/entry/http_server.h"
+
+#include <QtCore/QMetaEnum>
+#include <memory>
+#include <utility>
+
+#include "jayrill/job/job_codec.h"
+
+namespace jayrill {
+namespace {
+
+http_request CopyRequest(const QHttpServerRequest& request) {
+  http_request copy;
+  copy.method = QMetaEnum::fromType<QHttpServerRequest::Method>().valueToKey(
+      static_cast<int>(request.method()));
+  copy.path = request.url().path().toStdString();
+  for (const auto& [name, value] : request.headers()) {
+    copy.headers.emplace(name.toLower().toStdString(), value.toStdString());
+  }
+  copy.body = request.body();
+  return copy;
+}
+
+void WriteResponse(QHttpServerResponder& responder,
+                   const http_response& response,
+                   bool closes) {
+  const auto status =
+      static_cast<QHttpServerResponder::StatusCode>(response.status);
+  const QByteArray body = QByteArray::fromStdString(response.body);
+  const QByteArray type = QByteArray::fromStdString(response.content_type);
+  if (closes) {
+    responder.write(body, {{"Content-Type", type}, {"Connection", "close"}},
+                    status);
+  } else {
+    responder.write(body, {{"Content-Type", type}}, status);
+  }
+}
+
+int StatusOf(error_kind kind) {
+  switch (kind) {
+    case error_kind::kInvalidArgument:
+      return 400;
+    case error_kind::kUnauthorized:
+      return 401;
+    case error_kind::kNotFound:
+      return 404;
+    case error_kind::kConflict:
+      return 409;
+    case error_kind::kLimitExceeded:
+      return 429;
+    case error_kind::kUnavailable:
+      return 503;
+    case error_kind::kDeadlineExceeded:
+    case error_kind::kUnknownOutcome:
+      return 504;
+    case error_kind::kInternal:
+      return 500;
+  }
+  return 500;
+}
+
+}  // namespace
+
+http_response ErrorResponse(const error& failure) {
+  return {StatusOf(failure.kind),
+          "{\"error\":{\"code\":" + QuoteJson(ToString(failure.kind)) +
+              ",\"message\":" + QuoteJson(failure.message) +
+              ",\"remedy\":" + QuoteJson(failure.remedy) + "}}",
+          "application/json"};
+}
+
+http_server::http_server(http_limits limits, metric_registry& metrics)
+    : guard_(std::make_unique<http_guard>(limits, metrics)) {
+  server_.setMissingHandler(
+      [](const QHttpServerRequest& request, QHttpServerResponder&& responder) {
+        Handle(
+            [](const exchange_ptr& exchange) {
+              exchange->Reply(
+                  ErrorResponse({error_kind::kNotFound,
+                                 "there is no " + exchange->request().method +
+                                     " " + exchange->request().path,
+                                 "see docs/api.md for the methods and paths"}));
+            },
+            request, std::move(responder));
+      });
+}
+
+void http_server::Route(const std::string& path,
+                        QHttpServerRequest::Methods methods,
+                        handler handle) {
+  const QString pattern = QString::fromStdString(path);
+  if (path.find("<arg>") == std::string::npos) {
+    server_.route(pattern, methods,
+                  [handle](const QHttpServerRequest& request,
+                           QHttpServerResponder&& responder) {
+                    Handle(handle, request, std::move(responder));
+                  });
+  } else {
+    // The handler takes the segment from the path of the request.
+    server_.route(pattern, methods,
+                  [handle](const QString&, const QHttpServerRequest& request,
+                           QHttpServerResponder&& responder) {
+                    Handle(handle, request, std::move(responder));
+                  });
+  }
+}
+
+void http_server::Handle(const handler& handle,
+                         const QHttpServerRequest& request,
+                         QHttpServerResponder&& responder) {
+  auto* socket = static_cast<guarded_socket*>(responder.socket());
+  const auto shared =
+      std::make_shared<QHttpServerResponder>(std::move(responder));
+  // The socket tells the exchange before it is deleted, so the writer never
+  // runs after that.
+  const exchange_ptr exchange(new http_exchange(
+      CopyRequest(request), [shared, socket](const http_response& response) {
+        WriteResponse(*shared, response, socket->ClosesAfterReply());
+        socket->EndExchange();
+      }));
+  socket->BeginExchange(exchange);
+  handle(exchange);
+}
+
+result<std::uint16_t> http_server::Listen(const std::string& address,
+                                          std::uint16_t port) {
+  if (!guard_->listen(QHostAddress(QString::fromStdString(address)), port)) {
+    return MakeError(error_kind::kUnavailable,
+                     "cannot listen on " + address + ":" +
+                         std::to_string(port) + ": " +
+                         guard_->errorString().toStdString(),
+                     "choose an address of this machine and a free port");
+  }
+  server_.bind(guard_.get());  // Warns unless the guard listens.
+  return guard_->serverPort();
+}
+
+void http_server::Stop(std::function<void()> stopped) {
+  guard_->Stop(std::move(stopped));
+}
+
+}  // namespace jayrill
--- /dev/null
+++ b/src/jayrill/entry/job_api.cc
@@ -0,0 +1,256 @@
+#include "jayrill/entry/job_api.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "jayrill/entry/job_refusals.h"
+#include "jayrill/entry/main_thread.h"
+#include "jayrill/entry/request_key.h"
+#include "jayrill/job/job_codec.h"
+
+namespace jayrill {
+namespace {
+
+// Answers that are kept share the 32 MB of a node with everything else.
+constexpr std::size_t kMaxAnswers = 10'000;
+constexpr std::size_t kMaxAnswerBytes = std::size_t{4} * 1024 * 1024;
+
+std::string_view LabelOf(const job_outcome& outcome) {
+  return outcome ? "complete" : ToString(outcome.error().effect);
+}
+
+void Answer(const exchange_ptr& exchange,
+            const std::string& id,
+            const job_outcome& outcome) {
+  exchange->Reply({HttpStatusOf(outcome), EncodeOutcome(id, outcome)});
+}
+
+}  // namespace
+
+job_api::job_api(job_api_parts parts)
+    : parts_(std::move(parts)),
+      answers_(kMaxAnswers, kMaxAnswerBytes),
+      alive_(std::make_shared<char>()) {}
+
+job_api::~job_api() {
+  for (const auto& [id, job] : jobs_) {
+    for (const exchange_ptr& caller : job->callers) {
+      caller->OnGone(nullptr);
+    }
+  }
+}
+
+void job_api::Handle(const exchange_ptr& exchange) {
+  result<job_spec> spec = DecodeJob(exchange->request().Body());
+  if (!spec) {
+    Refuse(exchange, {}, NotRun("invalid_request", spec.error()));
+    return;
+  }
+  const shared_config config = parts_.config();
+  if (!config) {
+    Refuse(exchange, *spec,
+           NotRun("no_configuration", "this entry has no configuration yet",
+                  "submit again after a second"));
+    return;
+  }
+  if (const auto refusal =
+          ApplyProfile(config->ProfileOf(spec->service), *spec)) {
+    Refuse(exchange, *spec, *refusal);
+    return;
+  }
+  if (spec->idempotent) {
+    Start(exchange, std::move(*spec));
+  } else {
+    StartClaimed(exchange, std::move(*spec));
+  }
+}
+
+void job_api::Start(const exchange_ptr& exchange, job_spec spec) {
+  if (draining_) {
+    Refuse(exchange, spec,
+           NotRun("draining", "this entry is stopping",
+                  "submit again; the load balancer chooses another entry"));
+    return;
+  }
+  Dispatch(AddJob(exchange, std::move(spec)));
+}
+
+void job_api::StartClaimed(const exchange_ptr& exchange, job_spec spec) {
+  const wall_time now = parts_.time.WallNow();
+  const result<wall_time> key_time = CheckRequestKey(spec.request_key, now);
+  if (!key_time) {
+    const bool expired = key_time.error().kind == error_kind::kLimitExceeded;
+    Refuse(exchange, spec,
+           NotRun(expired ? "key_out_of_window" : "invalid_request",
+                  key_time.error()));
+    return;
+  }
+  const std::uint64_t content = ContentHash(spec);
+  if (const auto running = by_key_.find(spec.request_key);
+      running != by_key_.end()) {
+    if (running->second->content != content) {
+      Refuse(exchange, spec, KeyReused());
+    } else {
+      Join(running->second, exchange);
+    }
+    return;
+  }
+  if (const kept_answer* kept = answers_.Find(spec.request_key, now)) {
+    if (kept->content != content) {
+      Refuse(exchange, spec, KeyReused());
+    } else {
+      Answer(exchange, ToString(kept->job), kept->outcome);
+    }
+    return;
+  }
+  if (draining_) {
+    Start(exchange, std::move(spec));  // Refuses it.
+    return;
+  }
+  const job_ptr job = AddJob(exchange, std::move(spec));
+  job->content = content;
+  job->key_time = *key_time;
+  by_key_.emplace(job->spec.request_key, job);
+  parts_.claims.Acquire(
+      job->spec.request_key, content,
+      [this, id = job->id,
+       alive = std::weak_ptr<void>(alive_)](const result<claim_answer>& claim) {
+        if (!alive.expired()) {
+          OnClaim(id, claim);
+        }
+      });
+}
+
+job_api::job_ptr job_api::AddJob(const exchange_ptr& exchange, job_spec spec) {
+  const auto job = std::make_shared<active_job>();
+  job->id = {parts_.entry, ++last_sequence_};
+  job->spec = std::move(spec);
+  job->arrived = parts_.time.Now();
+  jobs_.emplace(job->id, job);
+  Join(job, exchange);
+  return job;
+}
+
+void job_api::Join(const job_ptr& job, const exchange_ptr& exchange) {
+  job->callers.push_back(exchange);
+  exchange->OnGone(
+      [this, id = job->id, raw = exchange.get()] { OnCallerGone(id, raw); });
+}
+
+void job_api::OnClaim(job_id id, const result<claim_answer>& claim) {
+  const auto found = jobs_.find(id);
+  if (found == jobs_.end()) {
+    return;
+  }
+  const job_ptr job = found->second;
+  if (!claim || claim->claim != claim_answer::state::kGranted) {
+    if (!claim && claim.error().kind == error_kind::kUnknownOutcome) {
+      parts_.claims.Release(job->spec.request_key);
+    }
+    Finish(job, OutcomeOfClaim(claim));
+    return;
+  }
+  Dispatch(job);
+}
+
+void job_api::Dispatch(const job_ptr& job) {
+  job_spec spec = job->spec;
+  // The deadline counts from the arrival, and the claim took some of it.
+  spec.deadline -= std::chrono::duration_cast<std::chrono::milliseconds>(
+      parts_.time.Now() - job->arrived);
+  if (spec.deadline.count() <= 0) {
+    OnOutcome(job->id, NotRun("deadline_exceeded",
+                              "the deadline passed before the job started",
+                              "set a longer deadline"));
+    return;
+  }
+  if (job->spec.idempotent) {
+    job->spec.tasks.clear();  // The payloads are needed only once.
+  }
+  parts_.dispatch.Submit(
+      job->id, std::move(spec),
+      [this, id = job->id,
+       alive = std::weak_ptr<void>(alive_)](job_outcome outcome) {
+        PostToMainThread(
+            [this, id, alive, outcome = std::move(outcome)]() mutable {
+              if (!alive.expired()) {
+                OnOutcome(id, std::move(outcome));
+              }
+            });
+      });
+}
+
+void job_api::OnOutcome(job_id id, job_outcome outcome) {
+  const auto found = jobs_.find(id);
+  if (found == jobs_.end()) {
+    LOG(DFATAL) << "http: second outcome job=" << ToString(id);
+    return;
+  }
+  const job_ptr job = found->second;
+  outcome = CheckResults(std::move(outcome));
+  if (!job->spec.idempotent) {
+    const std::string& key = job->spec.request_key;
+    if (!outcome && outcome.error().effect == job_effect::kNotRun) {
+      parts_.claims.Release(key);
+    } else {
+      parts_.claims.End(key, outcome);
+      answers_.Put(key, {id, job->content, outcome, job->key_time + kKeyWindow},
+                   parts_.time.WallNow());
+    }
+  }
+  Finish(job, outcome);
+}
+
+void job_api::OnCallerGone(job_id id, const http_exchange* exchange) {
+  const auto found = jobs_.find(id);
+  if (found == jobs_.end()) {
+    return;
+  }
+  auto& callers = found->second->callers;
+  std::erase_if(callers, [exchange](const exchange_ptr& caller) {
+    return caller.get() == exchange;
+  });
+  if (callers.empty() && found->second->spec.idempotent) {
+    parts_.dispatch.Cancel(id);
+  }
+}
+
+void job_api::Finish(const job_ptr& job, const job_outcome& outcome) {
+  jobs_.erase(job->id);
+  if (!job->spec.idempotent) {
+    by_key_.erase(job->spec.request_key);
+  }
+  Count(job->spec, job->arrived, outcome);
+  const std::string id = ToString(job->id);
+  for (const exchange_ptr& caller : job->callers) {
+    Answer(caller, id, outcome);
+  }
+}
+
+void job_api::Refuse(const exchange_ptr& exchange,
+                     const job_spec& spec,
+                     const job_outcome& outcome) {
+  Count(spec, parts_.time.Now(), outcome);
+  Answer(exchange, "", outcome);
+}
+
+void job_api::Count(const job_spec& spec,
+                    steady_time arrived,
+                    const job_outcome& outcome) {
+  // Callers choose the text of a service; only configured ones become labels.
+  const shared_config config = parts_.config();
+  const bool known = config && config->services.contains(spec.service);
+  const metric_labels labels = {{"service", known ? spec.service : "other"},
+                                {"outcome", std::string(LabelOf(outcome))}};
+  parts_.metrics
+      .Counter("jayrill_jobs_total", "Answered jobs by outcome.", labels)
+      .Add();
+  parts_.metrics
+      .Histogram("jayrill_job_seconds",
+                 "Time from the arrival of a job to its answer.", labels)
+      .Observe(parts_.time.Now() - arrived);
+}
+
+}  // namespace jayrill
--- a/src/jayrill/job.h
+++ b/src/jayrill/job.h
@@ -4,6 +4,7 @@
 /// \file
 /// Umbrella header of the job module: what callers submit and what they get.
 
+#include "jayrill/job/job_codec.h"
 #include "jayrill/job/job_collector.h"
 #include "jayrill/job/job_outcome.h"
 #include "jayrill/job/job_spec.h"
--- /dev/null
+++ b/src/jayrill/job/job_codec.cc
@@ -0,0 +1,292 @@
+#include "jayrill/job/job_codec.h"
+
+#include <QtCore/QJsonArray>
+#include <QtCore/QJsonDocument>
+#include <QtCore/QJsonObject>
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdint>
+#include <initializer_list>
+#include <optional>
+#include <utility>
+
+namespace jayrill {
+namespace {
+
+tl::unexpected<error> Invalid(std::string message, std::string remedy) {
+  return MakeError(error_kind::kInvalidArgument, std::move(message),
+                   std::move(remedy));
+}
+
+QString Key(std::string_view name) {
+  return QString::fromLatin1(name.data(), static_cast<qsizetype>(name.size()));
+}
+
+/// Reads the fields of one object and keeps the first error.
+class field_reader {
+ public:
+  field_reader(const QJsonObject& object, std::string where)
+      : object_(object), where_(std::move(where)) {}
+
+  void AllowOnly(std::initializer_list<std::string_view> names) {
+    for (auto it = object_.begin(); it != object_.end(); ++it) {
+      const std::string name = it.key().toStdString();
+      if (std::find(names.begin(), names.end(), name) == names.end()) {
+        Fail("field '" + where_ + name.substr(0, 64) + "' is unknown",
+             "remove it or correct its spelling");
+      }
+    }
+  }
+
+  std::string Name(std::string_view field) {
+    const QJsonValue value = object_.value(Key(field));
+    const std::string text = value.toString().toStdString();
+    if (!value.isString() || !IsValidName(text)) {
+      Fail("field '" + where_ + std::string(field) + "' must be a name",
+           "give a string of 1 to 64 characters of A-Z, a-z, 0-9, _, . or -");
+    }
+    return text;
+  }
+
+  std::chrono::milliseconds Duration(std::string_view field) {
+    const QJsonValue value = object_.value(Key(field));
+    const double number = value.toDouble(-1);
+    if (value.isUndefined()) {
+      return {};
+    }
+    const auto limit = static_cast<double>(kMaxDeadline.count());
+    if (!value.isDouble() || number < 1 || number > limit ||
+        number != std::floor(number)) {
+      Fail("field '" + where_ + std::string(field) +
+               "' must be a duration in milliseconds",
+           "give a whole number from 1 to 600000");
+      return {};
+    }
+    return std::chrono::milliseconds(static_cast<std::int64_t>(number));
+  }
+
+  void Fail(std::string message, std::string remedy) {
+    if (!failure_) {
+      failure_ = error{error_kind::kInvalidArgument, std::move(message),
+                       std::move(remedy)};
+    }
+  }
+
+  const std::optional<error>& failure() const { return failure_; }
+
+ private:
+  const QJsonObject& object_;
+  std::string where_;
+  std::optional<error> failure_;
+};
+
+std::string CompactJson(const QJsonValue& value) {
+  // QJsonDocument writes only arrays and objects, so the value is wrapped.
+  const QByteArray text =
+      QJsonDocument(QJsonArray{value}).toJson(QJsonDocument::Compact);
+  return text.mid(1, text.size() - 2).toStdString();
+}
+
+result<task_spec> DecodeTask(const QJsonValue& value, qsizetype index) {
+  const std::string where = "tasks[" + std::to_string(index) + "].";
+  if (!value.isObject()) {
+    return Invalid(
+        "field '" + where.substr(0, where.size() - 1) + "' must be an object",
+        "give {\"kind\":...,\"payload\":...}");
+  }
+  const QJsonObject object = value.toObject();
+  field_reader reader(object, where);
+  reader.AllowOnly({"kind", "payload", "declared_ms"});
+  task_spec task;
+  task.kind = reader.Name("kind");
+  if (const auto declared = reader.Duration("declared_ms");
+      declared.count() > 0) {
+    task.declared = declared;
+  }
+  if (reader.failure()) {
+    return tl::unexpected<error>(*reader.failure());
+  }
+  const QJsonValue payload = object.value(Key("payload"));
+  task.payload = payload.isUndefined() ? "null" : CompactJson(payload);
+  return task;
+}
+
+result<std::vector<task_spec>> DecodeTasks(const QJsonValue& value) {
+  const QJsonArray array = value.toArray();
+  if (!value.isArray() || array.isEmpty() ||
+      array.size() > static_cast<qsizetype>(kMaxTasksPerJob)) {
+    return Invalid("field 'tasks' must be an array of 1 to 1900 tasks, not " +
+                       (value.isArray() ? std::to_string(array.size())
+                                        : std::string("another type")),
+                   "split a larger job into several");
+  }
+  std::vector<task_spec> tasks;
+  tasks.reserve(static_cast<std::size_t>(array.size()));
+  for (qsizetype i = 0; i < array.size(); ++i) {
+    result<task_spec> task = DecodeTask(array.at(i), i);
+    if (!task) {
+      return tl::unexpected<error>(task.error());
+    }
+    tasks.push_back(std::move(*task));
+  }
+  return tasks;
+}
+
+void DecodeRequestKey(const QJsonObject& object,
+                      job_spec& spec,
+                      field_reader& reader) {
+  const QJsonValue idempotent = object.value(Key("idempotent"));
+  if (!idempotent.isBool()) {
+    reader.Fail("field 'idempotent' must be true or false",
+                "state whether the job may run more than once");
+  }
+  spec.idempotent = idempotent.toBool();
+  const QJsonValue key = object.value(Key("request_key"));
+  spec.request_key = key.toString().toStdString();
+  if (!key.isUndefined() && !key.isString()) {
+    reader.Fail("field 'request_key' must be a string",
+                "give \"<unix-ms>-<name>\"");
+  }
+  if (!spec.idempotent && spec.request_key.empty()) {
+    reader.Fail("field 'request_key' is missing on a non-idempotent job",
+                "give \"<unix-ms>-<name>\" and keep it when submitting again");
+  }
+  if (spec.request_key.size() > 128) {
+    reader.Fail("field 'request_key' is longer than 128 characters",
+                "shorten its name part");
+  }
+}
+
+}  // namespace
+
+bool IsValidName(std::string_view name) {
+  const auto is_name_char = [](char c) {
+    return (c >= 'A' && c <= 'Z') || (c >= 'a' && c <= 'z') ||
+           (c >= '0' && c <= '9') || c == '_' || c == '.' || c == '-';
+  };
+  return !name.empty() && name.size() <= 64 &&
+         std::all_of(name.begin(), name.end(), is_name_char);
+}
+
+result<job_spec> DecodeJob(std::string_view body) {
+  QJsonParseError parse_error;
+  // Qt's parser refuses more than 1,024 levels, so nesting cannot exhaust the
+  // stack.
+  const QJsonDocument document = QJsonDocument::fromJson(
+      QByteArray::fromRawData(body.data(), static_cast<qsizetype>(body.size())),
+      &parse_error);
+  if (parse_error.error != QJsonParseError::NoError) {
+    return Invalid(
+        "the body is not JSON: " + parse_error.errorString().toStdString() +
+            " at byte " + std::to_string(parse_error.offset),
+        "send a JSON object in UTF-8");
+  }
+  if (!document.isObject()) {
+    return Invalid("the body is not a JSON object",
+                   "send {\"service\":...,\"team\":...,\"idempotent\":...,"
+                   "\"tasks\":[...]}");
+  }
+  const QJsonObject object = document.object();
+  field_reader reader(object, "");
+  reader.AllowOnly(
+      {"service", "team", "idempotent", "request_key", "deadline_ms", "tasks"});
+  job_spec spec;
+  spec.service = reader.Name("service");
+  spec.team = reader.Name("team");
+  DecodeRequestKey(object, spec, reader);
+  spec.deadline = reader.Duration("deadline_ms");
+  if (reader.failure()) {
+    return tl::unexpected<error>(*reader.failure());
+  }
+  result<std::vector<task_spec>> tasks =
+      DecodeTasks(object.value(Key("tasks")));
+  if (!tasks) {
+    return tl::unexpected<error>(tasks.error());
+  }
+  spec.tasks = std::move(*tasks);
+  return spec;
+}
+
+std::string QuoteJson(std::string_view text) {
+  return CompactJson(QJsonValue(
+      QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()))));
+}
+
+std::string EncodeOutcome(std::string_view id, const job_outcome& outcome) {
+  std::string out = "{\"job\":" + (id.empty() ? "null" : QuoteJson(id));
+  if (!outcome) {
+    const job_failure& failure = outcome.error();
+    out += R"(,"outcome":"failed","error":{"effect":)";
+    out += QuoteJson(ToString(failure.effect));
+    out += ",\"code\":" + QuoteJson(failure.code);
+    out += ",\"message\":" + QuoteJson(failure.message);
+    out += ",\"remedy\":" + QuoteJson(failure.remedy) + "}}";
+    return out;
+  }
+  out += R"(,"outcome":"complete","results":[)";
+  const char* separator = "";
+  for (const std::string& item : outcome->results) {
+    out += separator;
+    out += item.empty() ? "null" : item;
+    separator = ",";
+  }
+  return out + "]}";
+}
+
+job_outcome CheckResults(job_outcome outcome) {
+  if (!outcome) {
+    return outcome;
+  }
+  for (std::size_t i = 0; i < outcome->results.size(); ++i) {
+    const std::string& item = outcome->results[i];
+    const QJsonDocument document = QJsonDocument::fromJson(
+        QByteArray("[" + QByteArray::fromStdString(item) + "]"));
+    if (!item.empty() &&
+        (!document.isArray() || document.array().size() != 1)) {
+      return MakeJobFailure(
+          job_effect::kRanAndFailed, "bad_result",
+          "the result of task " + std::to_string(i) + " is not JSON",
+          "correct the service; its answers must be JSON");
+    }
+  }
+  return outcome;
+}
+
+int HttpStatusOf(const job_outcome& outcome) {
+  if (outcome) {
+    return 200;
+  }
+  // Codes that have a status of their own; see docs/api.md.
+  static constexpr std::array<std::pair<std::string_view, int>, 11> kByCode{{
+      {"invalid_request", 400},
+      {"invalid_job", 400},
+      {"too_many_tasks", 400},
+      {"deadline_too_long", 400},
+      {"key_out_of_window", 400},
+      {"already_ran", 409},
+      {"key_reused", 409},
+      {"running_elsewhere", 409},
+      {"body_too_large", 413},
+      {"queue_full", 429},
+      {"deadline_exceeded", 504},
+  }};
+  for (const auto& [code, status] : kByCode) {
+    if (code == outcome.error().code) {
+      return status;
+    }
+  }
+  switch (outcome.error().effect) {
+    case job_effect::kNotRun:
+      return 503;
+    case job_effect::kMayHaveRun:
+      return 504;
+    case job_effect::kRanAndFailed:
+      return 502;
+    case job_effect::kRan:
+      return 409;
+  }
+  return 504;
+}
+
+}  // namespace jayrill
--- /dev/null
+++ b/src/jayrill/job/job_codec.h
@@ -0,0 +1,44 @@
+#ifndef JAYRILL_JOB_JOB_CODEC_H_
+#define JAYRILL_JOB_JOB_CODEC_H_
+
+#include <chrono>
+#include <string>
+#include <string_view>
+
+#include "jayrill/base/error.h"
+#include "jayrill/job/job_outcome.h"
+#include "jayrill/job/job_spec.h"
+
+namespace jayrill {
+
+/// Deadline of a job that states none.
+inline constexpr std::chrono::milliseconds kDefaultDeadline{30'000};
+/// Longest deadline; equal to the claim window, so that a job has ended before
+/// its claim is removed.
+inline constexpr std::chrono::milliseconds kMaxDeadline{600'000};
+
+/// \returns the job in the JSON \p body of a submission. Unknown fields are
+/// refused. A deadline that is not stated is left at 0. Payloads are kept as
+/// compact JSON.
+result<job_spec> DecodeJob(std::string_view body);
+
+/// \returns true when \p name has 1 to 64 characters of [A-Za-z0-9_.-].
+bool IsValidName(std::string_view name);
+
+/// \returns the JSON body of the answer to the job with the text \p id, which
+/// is empty for a job that was refused before it got one.
+std::string EncodeOutcome(std::string_view id, const job_outcome& outcome);
+
+/// \returns \p outcome, or a failure when one of its results is not JSON and
+/// would make the whole answer unreadable.
+job_outcome CheckResults(job_outcome outcome);
+
+/// \returns the HTTP status that belongs to \p outcome.
+int HttpStatusOf(const job_outcome& outcome);
+
+/// \returns \p text as a JSON string with its quotes.
+std::string QuoteJson(std::string_view text);
+
+}  // namespace jayrill
+
+#endif  // JAYRILL_JOB_JOB_CODEC_H_
--- a/src/jayrill/job/module.cmake
+++ b/src/jayrill/job/module.cmake
@@ -1,3 +1,3 @@
 jayrill_module(job
-  SOURCES job_collector.cc job_outcome.cc task_result.cc
-  DEPENDS jayrill_base)
+  SOURCES job_codec.cc job_collector.cc job_outcome.cc task_result.cc
+  DEPENDS jayrill_base Qt6::Core)
--- /dev/null
+++ b/src/jayrill/metrics.h
@@ -0,0 +1,13 @@
+#ifndef JAYRILL_METRICS_H_
+#define JAYRILL_METRICS_H_
+
+/// \file
+/// Umbrella header of the metrics module: counters, gauges and histograms in a
+/// registry with the text exposition format.
+
+#include "jayrill/metrics/counter.h"
+#include "jayrill/metrics/duration_histogram.h"
+#include "jayrill/metrics/gauge.h"
+#include "jayrill/metrics/metric_registry.h"
+
+#endif  // JAYRILL_METRICS_H_
--- /dev/null
+++ b/src/jayrill/metrics/counter.h
@@ -0,0 +1,24 @@
+#ifndef JAYRILL_METRICS_COUNTER_H_
+#define JAYRILL_METRICS_COUNTER_H_
+
+#include <atomic>
+#include <cstdint>
+
+namespace jayrill {
+
+/// A number of events, which only grows. Safe from several threads.
+class counter {
+ public:
+  void Add(std::uint64_t count = 1) {
+    value_.fetch_add(count, std::memory_order_relaxed);
+  }
+
+  std::uint64_t value() const { return value_.load(std::memory_order_relaxed); }
+
+ private:
+  std::atomic<std::uint64_t> value_{0};
+};
+
+}  // namespace jayrill
+
+#endif  // JAYRILL_METRICS_COUNTER_H_
--- /dev/null
+++ b/src/jayrill/metrics/gauge.h
@@ -0,0 +1,27 @@
+#ifndef JAYRILL_METRICS_GAUGE_H_
+#define JAYRILL_METRICS_GAUGE_H_
+
+#include <atomic>
+#include <cstdint>
+
+namespace jayrill {
+
+/// A quantity that rises and falls. Safe from several threads.
+class gauge {
+ public:
+  void Set(std::int64_t value) {
+    value_.store(value, std::memory_order_relaxed);
+  }
+  void Add(std::int64_t change) {
+    value_.fetch_add(change, std::memory_order_relaxed);
+  }
+
+  std::int64_t value() const { return value_.load(std::memory_order_relaxed); }
+
+ private:
+  std::atomic<std::int64_t> value_{0};
+};
+
+}  // namespace jayrill
+
+#endif  // JAYRILL_METRICS_GAUGE_H_
--- /dev/null
+++ b/src/jayrill/metrics/module.cmake
@@ -0,0 +1,3 @@
+jayrill_module(metrics
+  SOURCES duration_histogram.cc metric_registry.cc
+  DEPENDS jayrill_base)
--- /dev/null
+++ b/tests/unit/http/job_api_test.cc
@@ -0,0 +1,334 @@
+#include "jayrill/entry/job_api.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "fake_ports.h"
+#include "http_test_support.h"
+#include "jayrill/entry/request_key.h"
+#include "jayrill/job/job_codec.h"
+
+namespace jayrill {
+namespace {
+
+class job_api_test : public testing::Test {
+ protected:
+  job_api_test() {
+    auto config = std::make_shared<cluster_config>();
+    config->profiles["small"].limits.max_tasks = 1;
+    config->profiles["small"].limits.max_deadline =
+        std::chrono::milliseconds(5000);
+    config->services["limited"].profile = "small";
+    config->services["quote"].profile = "missing";
+    config_ = config;
+    server_.Route(
+        "/v1/jobs", QHttpServerRequest::Method::Post,
+        [this](const exchange_ptr& exchange) { api_.Handle(exchange); });
+    port_ = server_.Listen("127.0.0.1", 0).value_or(0);
+  }
+
+  std::string Key(int age_ms = 0) const {
+    return std::to_string(time_.WallNow().time_since_epoch().count() - age_ms) +
+           "-fitter";
+  }
+
+  static std::string Body(const std::string& key, int payload = 1) {
+    const std::string fields =
+        key.empty() ? R"("idempotent":true)"
+                    : R"("idempotent":false,"request_key":")" + key + "\"";
+    return R"({"service":"quote","team":"t",)" + fields +
+           R"(,"tasks":[{"kind":"k","payload":)" + std::to_string(payload) +
+           R"(},{"kind":"k","payload":2}]})";
+  }
+
+  void Submit(raw_client& client, const std::string& body) {
+    client.Send(Post("/v1/jobs", body));
+  }
+
+  bool WaitSubmitted(std::size_t count) {
+    return WaitUntil([&] { return dispatch_.submitted.size() == count; });
+  }
+
+  /// Submits a non-idempotent job and waits for its attempt to claim.
+  bool SubmitForClaim(raw_client& client, const std::string& key) {
+    const std::size_t count = claims_.acquired.size() + 1;
+    Submit(client, Body(key));
+    return WaitUntil([&] { return claims_.acquired.size() == count; });
+  }
+
+  void AnswerClaim(std::size_t index, result<claim_answer> answer) {
+    claims_.acquired.at(index).second(std::move(answer));
+  }
+
+  static claim_answer Claim(claim_answer::state state) {
+    claim_answer answer;
+    answer.claim = state;
+    return answer;
+  }
+
+  static job_outcome NotRunOutcome() {
+    return MakeJobFailure(job_effect::kNotRun, "no_minion", "none", "wait");
+  }
+
+  manual_clock time_;
+  metric_registry metrics_;
+  fake_dispatch dispatch_;
+  fake_claims claims_;
+  shared_config config_;
+  job_api api_{{dispatch_, claims_, time_, metrics_, [this] { return config_; },
+                incarnation{7}}};
+  http_server server_{{}, metrics_};
+  std::uint16_t port_ = 0;
+};
+
+const job_outcome kWhole = job_answer{{"{\"price\":1}", "2"}};
+
+// Guards against answers that go to another caller when jobs end out of order.
+TEST_F(job_api_test, EachCallerGetsItsOwnAnswer) {
+  raw_client first(port_);
+  Submit(first, Body(""));
+  ASSERT_TRUE(WaitSubmitted(1));
+  raw_client second(port_);
+  Submit(second, Body(""));
+  ASSERT_TRUE(WaitSubmitted(2));
+  EXPECT_EQ(dispatch_.submitted[0].spec.tasks[1].payload, "2");
+  EXPECT_EQ(dispatch_.submitted[0].spec.deadline, kDefaultDeadline);
+  dispatch_.End(1, job_answer{{"\"b\"", "2"}});
+  dispatch_.End(0, job_answer{{"\"a\"", "2"}});
+  EXPECT_TRUE(first.WaitFor(
+      R"({"job":"0000000000000007-1","outcome":"complete","results":["a",2]})"));
+  EXPECT_TRUE(second.WaitFor(
+      R"({"job":"0000000000000007-2","outcome":"complete","results":["b",2]})"));
+  EXPECT_NE(metrics_.Expose().find(
+                "jayrill_jobs_total{service=\"quote\",outcome=\"complete\"} 2"),
+            std::string::npos);
+}
+
+struct refused_job {
+  const char* name;
+  std::string body;
+  std::string status;
+  std::string code;
+};
+
+class refused_job_test : public job_api_test,
+                         public testing::WithParamInterface<refused_job> {};
+
+// Guards against a job that is refused as not run and runs all the same.
+TEST_P(refused_job_test, IsNotDispatched) {
+  raw_client client(port_);
+  Submit(client, GetParam().body);
+  ASSERT_TRUE(client.WaitFor("\"remedy\""));
+  EXPECT_EQ(client.Received().substr(9, 3), GetParam().status);
+  EXPECT_NE(client.Received().find(R"("effect":"not_run","code":")" +
+                                   GetParam().code + "\""),
+            std::string::npos)
+      << client.Received();
+  EXPECT_TRUE(dispatch_.submitted.empty());
+  EXPECT_TRUE(claims_.acquired.empty());
+}
+
+std::string KeyedJob(const std::string& key) {
+  return R"({"service":"s","team":"t","idempotent":false,"request_key":")" +
+         key + R"(","tasks":[{"kind":"k"}]})";
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Cases,
+    refused_job_test,
+    testing::Values(
+        refused_job{"invalid", "{}", "400", "invalid_request"},
+        refused_job{"tasks",
+                    R"({"service":"limited","team":"t","idempotent":true,)"
+                    R"("tasks":[{"kind":"k"},{"kind":"k"}]})",
+                    "400", "too_many_tasks"},
+        refused_job{"deadline",
+                    R"({"service":"limited","team":"t","idempotent":true,)"
+                    R"("deadline_ms":5001,"tasks":[{"kind":"k"}]})",
+                    "400", "deadline_too_long"},
+        refused_job{"key_form", KeyedJob("abc"), "400", "invalid_request"},
+        refused_job{"key_no_name", KeyedJob("1-"), "400", "invalid_request"},
+        refused_job{"key_old", KeyedJob("1-a"), "400", "key_out_of_window"},
+        refused_job{"key_ahead", KeyedJob("99999999999999-a"), "400",
+                    "key_out_of_window"}),
+    [](const auto& test) { return test.param.name; });
+
+// Guards against jobs that start without a configuration or while draining.
+TEST_F(job_api_test, RefusesWithoutConfigurationAndWhileDraining) {
+  const shared_config config = std::exchange(config_, nullptr);
+  raw_client client(port_);
+  Submit(client, Body(""));
+  EXPECT_TRUE(client.WaitFor("\"code\":\"no_configuration\""));
+  config_ = config;
+  api_.BeginDrain();
+  Submit(client, Body(""));
+  EXPECT_TRUE(client.WaitFor("\"code\":\"draining\""));
+  EXPECT_EQ(Occurrences(client.Received(), "HTTP/1.1 503"), 2);
+  EXPECT_TRUE(dispatch_.submitted.empty());
+}
+
+// Guards against idempotent jobs that go on for nobody, and non-idempotent
+// jobs whose outcome is lost with their caller.
+TEST_F(job_api_test, CancelsOnlyIdempotentJobsOfGoneCallers) {
+  const std::string key = Key();
+  auto idempotent = std::make_unique<raw_client>(port_);
+  Submit(*idempotent, Body(""));
+  ASSERT_TRUE(WaitSubmitted(1));
+  auto claimed = std::make_unique<raw_client>(port_);
+  ASSERT_TRUE(SubmitForClaim(*claimed, key));
+  AnswerClaim(0, Claim(claim_answer::state::kGranted));
+  ASSERT_TRUE(WaitSubmitted(2));
+  claimed.reset();
+  ASSERT_TRUE(WaitUntil([&] { return server_.connections() == 1; }));
+  idempotent.reset();
+  ASSERT_TRUE(WaitUntil([&] { return !dispatch_.cancelled.empty(); }));
+  EXPECT_EQ(dispatch_.cancelled,
+            std::vector<job_id>{dispatch_.submitted[0].id});
+  dispatch_.End(0, NotRunOutcome());
+  dispatch_.End(1, kWhole);
+  ASSERT_TRUE(WaitUntil([&] { return api_.pending_jobs() == 0; }));
+  EXPECT_EQ(claims_.ended, std::vector<std::string>{key});
+  raw_client again(port_);
+  Submit(again, Body(key));
+  EXPECT_TRUE(again.WaitFor("{\"price\":1}"));
+  EXPECT_EQ(dispatch_.submitted.size(), 2U);
+}
+
+// Guards against a resubmission that runs a second time or answers with the
+// job of someone else.
+TEST_F(job_api_test, ResubmissionJoinsTheRunningJob) {
+  const std::string key = Key();
+  raw_client first(port_);
+  ASSERT_TRUE(SubmitForClaim(first, key));
+  raw_client second(port_);
+  Submit(second, Body(key));  // Joins while the claim is being written.
+  raw_client other(port_);
+  Submit(other, Body(key, 99));
+  EXPECT_TRUE(other.WaitFor("\"code\":\"key_reused\""));
+  AnswerClaim(0, Claim(claim_answer::state::kGranted));
+  ASSERT_TRUE(WaitSubmitted(1));
+  api_.BeginDrain();  // Joining does not start a job.
+  raw_client third(port_);
+  Submit(third, Body(key));
+  raw_client marker(port_);
+  Submit(marker, "{}");
+  ASSERT_TRUE(marker.WaitFor("invalid_request"));
+  dispatch_.End(0, kWhole);
+  for (raw_client* client : {&first, &second, &third}) {
+    EXPECT_TRUE(client->WaitFor("{\"price\":1}"));
+  }
+  EXPECT_EQ(claims_.acquired.size(), 1U);
+  EXPECT_EQ(dispatch_.submitted.size(), 1U);
+}
+
+// Guards against a job that runs before its claim is durable, and against a
+// claim that stays after a job that has not run.
+TEST_F(job_api_test, ReleasesTheClaimOfAJobThatHasNotRun) {
+  const std::string key = Key();
+  raw_client client(port_);
+  ASSERT_TRUE(SubmitForClaim(client, key));
+  EXPECT_TRUE(dispatch_.submitted.empty());
+  AnswerClaim(0, Claim(claim_answer::state::kGranted));
+  ASSERT_TRUE(WaitSubmitted(1));
+  dispatch_.End(0, NotRunOutcome());
+  EXPECT_TRUE(client.WaitFor("HTTP/1.1 503"));
+  EXPECT_EQ(claims_.released, std::vector<std::string>{key});
+  EXPECT_TRUE(claims_.ended.empty());
+  raw_client again(port_);  // Not answered from the cache.
+  EXPECT_TRUE(SubmitForClaim(again, key));
+}
+
+struct claim_case {
+  const char* name;
+  result<claim_answer> answer;
+  std::string status;
+  std::string text;
+};
+
+claim_answer Ended(std::optional<job_outcome> outcome) {
+  claim_answer answer;
+  answer.claim = claim_answer::state::kEnded;
+  answer.ended_as = "complete";
+  answer.outcome = std::move(outcome);
+  return answer;
+}
+
+claim_answer Held(claim_answer::state state) {
+  claim_answer answer;
+  answer.claim = state;
+  return answer;
+}
+
+class claim_test : public job_api_test,
+                   public testing::WithParamInterface<claim_case> {};
+
+// Guards against a job that runs although its claim was not granted, and an
+// answer that says more about it than is known.
+TEST_P(claim_test, AnswersWithoutRunning) {
+  raw_client client(port_);
+  ASSERT_TRUE(SubmitForClaim(client, Key()));
+  AnswerClaim(0, GetParam().answer);
+  EXPECT_TRUE(client.WaitFor(GetParam().text)) << client.Received();
+  EXPECT_EQ(client.Received().substr(9, 3), GetParam().status);
+  EXPECT_TRUE(dispatch_.submitted.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Cases,
+    claim_test,
+    testing::Values(
+        claim_case{"store_down",
+                   MakeError(error_kind::kUnavailable, "no answer", "wait"),
+                   "503", R"("effect":"not_run","code":"store_unavailable")"},
+        claim_case{"unknown",
+                   MakeError(error_kind::kUnknownOutcome, "no answer", "wait"),
+                   "503", R"("effect":"not_run","code":"claim_unknown")"},
+        claim_case{"elsewhere", Held(claim_answer::state::kRunningElsewhere),
+                   "409", R"("effect":"may_have_run")"},
+        claim_case{"here", Held(claim_answer::state::kRunningHere), "409",
+                   R"("effect":"may_have_run")"},
+        claim_case{"reused", Held(claim_answer::state::kKeyReused), "409",
+                   R"("effect":"not_run","code":"key_reused")"},
+        claim_case{"ended", Ended(std::nullopt), "409",
+                   R"("effect":"ran","code":"already_ran")"},
+        claim_case{"ended_with_answer", Ended(kWhole), "200",
+                   R"("results":[{"price":1},2])"}),
+    [](const auto& test) { return test.param.name; });
+
+// Guards against a deadline that starts anew when the claim is granted late.
+TEST_F(job_api_test, TheClaimCountsAgainstTheDeadline) {
+  raw_client client(port_);
+  ASSERT_TRUE(SubmitForClaim(client, Key()));
+  time_.Advance(kDefaultDeadline);
+  AnswerClaim(0, Claim(claim_answer::state::kGranted));
+  EXPECT_TRUE(client.WaitFor("\"code\":\"deadline_exceeded\""));
+  EXPECT_TRUE(dispatch_.submitted.empty());
+  EXPECT_EQ(claims_.released.size(), 1U);
+}
+
+// Guards against an answer cache without bounds.
+TEST(answer_cache_test, IsBoundedByCountBytesAndTime) {
+  const wall_time now{std::chrono::milliseconds(1'000'000)};
+  const auto answer = [&](std::size_t bytes) {
+    return kept_answer{
+        {}, 0, job_answer{{std::string(bytes, 'x')}}, now + kKeyWindow};
+  };
+  answer_cache cache(3, 5000);
+  for (const char* const key : {"a", "b", "c", "d"}) {
+    cache.Put(key, answer(10), now);
+  }
+  EXPECT_EQ(cache.Find("a", now), nullptr);
+  EXPECT_NE(cache.Find("b", now), nullptr);
+  cache.Put("e", answer(4000), now);
+  EXPECT_EQ(cache.size(), 3U);
+  cache.Put("f", answer(4000), now);
+  EXPECT_EQ(cache.size(), 1U);
+  EXPECT_LE(cache.bytes(), 5000U);
+  EXPECT_EQ(cache.Find("f", now + kKeyWindow + std::chrono::milliseconds(1)),
+            nullptr);
+  EXPECT_EQ(cache.bytes(), 0U);
+}
+
+}  // namespace
+}  // namespace jayrill
