--- a/src/jayrill/cli/flags.h
+++ b/src/jayrill/cli/flags.h
@@ -32,7 +32,7 @@
 ABSL_DECLARE_FLAG(std::int64_t, slots);
 ABSL_DECLARE_FLAG(double, slowness);
 ABSL_DECLARE_FLAG(std::string, faults);
-ABSL_DECLARE_FLAG(std::string, record);
+ABSL_DECLARE_FLAG(bool, record);
 ABSL_DECLARE_FLAG(bool, demo);
 
 // Client commands.
--- a/src/jayrill/cli/role_flags.cc
+++ b/src/jayrill/cli/role_flags.cc
@@ -44,7 +44,7 @@
           "RPC addresses of some entries; the others are learned from them");
 ABSL_FLAG(std::int64_t,
           queue_limit,
-          64,
+          4096,
           "Most starts that wait at an agent; more are refused as not run");
 ABSL_FLAG(std::string,
           listen,
@@ -62,12 +62,12 @@
           "Run time relative to the time that a task asks for");
 ABSL_FLAG(std::string,
           faults,
-          "",
-          "Faults of the sample backend; see docs/operations.md");
-ABSL_FLAG(std::string,
+          "none",
+          "What the sample backend does wrong with every task");
+ABSL_FLAG(bool,
           record,
-          "",
-          "File to which the sample backend writes each execution");
+          true,
+          "Keep a record of each execution at /executions; it grows");
 ABSL_FLAG(bool,
           demo,
           false,
