--- a/src/jayrill/claim/claim_ledger.cc
+++ b/src/jayrill/claim/claim_ledger.cc
@@ -21,7 +21,7 @@
                            const clock& time,
                            random_source random,
                            incarnation self)
-    : clock_(time), timers_(timers), random_(std::move(random)), self_(self) {
+    : clock_(time), timers_(timers), random_(random), self_(self) {
   for (std::size_t shard = 0; shard < kClaimShards; ++shard) {
     writers_.push_back(std::make_unique<claim_internal::shard_writer>(
         ShardKey(shard), backing, timers, time, random_));
@@ -37,7 +37,7 @@
 void claim_ledger::Acquire(std::string_view key_text,
                            std::uint64_t fingerprint,
                            decision_function decided) {
-  const auto refuse = [&](claim_decision decision) {
+  const auto refuse = [&](const claim_decision& decision) {
     timers_.After(std::chrono::milliseconds(0),
                   guard_.Wrap([decided, decision] { decided(decision); }));
   };
@@ -48,7 +48,7 @@
     return;
   }
   if (auto refused = claim_internal::RefuseByAge(key->time, clock_.WallNow())) {
-    refuse(std::move(*refused));
+    refuse(*refused);
     return;
   }
   if (stopping_) {
@@ -117,7 +117,7 @@
 }
 
 void claim_ledger::Stop(std::chrono::milliseconds limit,
-                        std::function<void()> stopped) {
+                        const std::function<void()>& stopped) {
   stopping_ = true;
   PollStop(clock_.Now() + limit, stopped);
 }
--- a/src/jayrill/claim/claim_ledger.h
+++ b/src/jayrill/claim/claim_ledger.h
@@ -66,7 +66,8 @@
   /// Refuses new claims and calls \p stopped when everything is stored, at the
   /// latest after \p limit. What is left then is given up: its claims stay
   /// running, which is safe.
-  void Stop(std::chrono::milliseconds limit, std::function<void()> stopped);
+  void Stop(std::chrono::milliseconds limit,
+            const std::function<void()>& stopped);
 
   bool is_idle() const;
 
--- a/src/jayrill/membership/membership.cc
+++ b/src/jayrill/membership/membership.cc
@@ -105,11 +105,12 @@
     return;
   }
   busy_ = true;
-  store_.CompareAndSwap(own_key_, own_revision_, text, lease_,
-                        guard_.Wrap([this, text](result<swap_result> swap) {
-                          busy_ = false;
-                          OnWrite(text, swap);
-                        }));
+  store_.CompareAndSwap(
+      own_key_, own_revision_, text, lease_,
+      guard_.Wrap([this, text](const result<swap_result>& swap) {
+        busy_ = false;
+        OnWrite(text, swap);
+      }));
 }
 
 void membership::OnWrite(const std::string& text,
