Fence a late claim over a released one

Cause: a claim whose write had no answer was taken back by finding the claim released by another submission. That changed nothing in the store, so the late write could still take effect and blocked its key.

Change: the release writes the claim again, which moves the revision. The keys of the property tests now share a shard and end their window during the run.

--- a/src/jayrill/claim/claim_shard.cc
+++ b/src/jayrill/claim/claim_shard.cc
@@ -120,9 +120,11 @@
                 const claim& released) {
   const auto [found, added] = shard.claims.try_emplace(key.text, released);
   claim& held = found->second;
-  const bool own =
-      held.token == released.token && held.state == claim_state::kRunning;
-  if (added || own) {
+  const bool own = held.token == released.token;
+  const bool running = held.state == claim_state::kRunning;
+  const bool free = held.state == claim_state::kReleased;
+  if (added || (own && running) || (!own && free)) {
+    held = released;
     held.state = claim_state::kReleased;
     return true;
   }
--- a/src/jayrill/claim/claim_shard.h
+++ b/src/jayrill/claim/claim_shard.h
@@ -63,8 +63,9 @@
             const ended_outcome& outcome);
 
 /// Makes the claim of \p key free for a resubmission. An absent claim is
-/// written as released: that moves the revision of the shard, so a write of the
-/// claim that is still on its way cannot take effect any more.
+/// written as released, and one that another submission released is written
+/// again: that moves the revision of the shard, so a write of the claim that is
+/// still on its way cannot take effect any more.
 /// \returns true when \p shard changed.
 bool TryRelease(claim_shard& shard,
                 const request_key& key,
--- a/src/jayrill/claim/internal/shard_writer.cc
+++ b/src/jayrill/claim/internal/shard_writer.cc
@@ -301,7 +301,8 @@
   // A claim that nobody was granted must not stay running. After a refusal, a
   // write without an answer can still take effect.
   if ((what == decision_kind::kGranted && late) ||
-      (what == decision_kind::kRefused && operation->unsettled)) {
+      (what == decision_kind::kRefused && operation->unsettled &&
+       operation->planned.code != "key_reused")) {
     operation->what = kind::kRelease;
     operation->finished = [](const result<void>&) {};
     queue_.push_back(operation);
--- a/tests/unit/claim_test.cc
+++ b/tests/unit/claim_test.cc
@@ -134,15 +134,21 @@
       ledgers.emplace_back();
       Start(i);
     }
-    for (int i = 0; i < 5; ++i) {
-      const auto age = milliseconds(random.Below(11 * 60'000));
-      AddKey(time.WallNow() - age);
+    // Most keys reach the end of the window or of their claim during the run.
+    for (int i = 0; i < 12; ++i) {
+      AddKey(time.WallNow() - minutes(10) + milliseconds(random.Below(90'000)));
     }
   }
 
+  // All keys share a shard, so that each write removes what is over.
   void AddKey(wall_time at) {
-    keys.push_back({std::to_string(at.time_since_epoch().count()) + "-key" +
-                    std::to_string(keys.size())});
+    const std::string stem = std::to_string(at.time_since_epoch().count()) +
+                             "-key" + std::to_string(keys.size());
+    request_key made{stem + "-0", at};
+    for (int i = 1; ShardOf(made) != 0; ++i) {
+      made.text = stem + "-" + std::to_string(i);
+    }
+    keys.push_back({made.text});
   }
 
   void Start(std::size_t process) {
@@ -206,7 +212,8 @@
         Finish(item, random.Below(2) == 0);
         break;
       case 3:
-        timers.RunFor(milliseconds(random.Below(60'000)));
+        timers.RunFor(
+            milliseconds(random.Below(random.Below(4) == 0 ? 60'000 : 2'000)));
         break;
       default:
         Acquire(process, item);
