--- a/src/jayrill/store/internal/etcd_call.cc
+++ b/src/jayrill/store/internal/etcd_call.cc
@@ -72,7 +72,7 @@
                              call_kind kind) {
   const int status =
       reply.attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
-  const QByteArray body = reply.readAll();
+  const QByteArray body = reply.isOpen() ? reply.readAll() : QByteArray();
   const QJsonDocument document = QJsonDocument::fromJson(body);
   if (status >= 400) {
     return tl::unexpected(StatusFailure(document.object(), status, kind));
