Test the agent and the sample backend, and mend what the tests found

Found by the tests: an announcement without resources was refused, because QJsonObject's subscript inserts the absent key; the managers of the minion client were destroyed before the calls that use them.

--- a/src/jayrill/agent/announcement.cc
+++ b/src/jayrill/agent/announcement.cc
@@ -25,7 +25,7 @@
   std::uint32_t Integer(const char* name,
                         std::uint32_t least,
                         std::uint32_t most) {
-    const QJsonValue value = object_[QLatin1String(name)];
+    const QJsonValue value = object_.value(QLatin1String(name));
     if (value.isUndefined() && least == 0) {
       return 0;
     }
@@ -40,7 +40,7 @@
   }
 
   std::string Name(const char* name) {
-    const QJsonValue value = object_[QLatin1String(name)];
+    const QJsonValue value = object_.value(QLatin1String(name));
     const QString text = value.toString();
     if (text.isEmpty() || text.size() > kMaxServiceLength) {
       Fail(name, "a text of 1 to " + std::to_string(kMaxServiceLength) +
@@ -50,7 +50,7 @@
   }
 
   QJsonObject Object(const char* name) {
-    const QJsonValue value = object_[QLatin1String(name)];
+    const QJsonValue value = object_.value(QLatin1String(name));
     if (!value.isUndefined() && !value.isObject()) {
       Fail(name, "an object");
     }
--- a/src/jayrill/agent/entry_link.cc
+++ b/src/jayrill/agent/entry_link.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "jayrill/agent/internal/agent_port.h"
+#include "jayrill/agent/internal/entry_connection.h"
 #include "jayrill/rpc/codec.h"
 
 namespace jayrill {
@@ -16,6 +17,9 @@
 // dialled again.
 constexpr auto kDialLimit = 3 * kj::SECONDS;
 
+// Interval at which a second address of a connected entry is tried.
+constexpr auto kAliasDelay = 5 * kj::SECONDS;
+
 // Bounds on reports without acknowledgement, so that a slow entry makes the
 // agent keep results instead of filling its socket.
 constexpr std::uint32_t kMaxReportsInFlight = 16;
@@ -41,38 +45,6 @@
 
 }  // namespace
 
-// Members are destroyed in reverse order: calls first, the stream last.
-struct entry_link::connection {
-  connection(kj::Own<kj::AsyncIoStream> opened,
-             kj::TaskSet::ErrorHandler& errors)
-      : stream(kj::mv(opened)),
-        network(*stream, capnp::rpc::twoparty::Side::CLIENT),
-        rpc(capnp::makeRpcClient(network)),
-        entry(Bootstrap()),
-        session(nullptr),
-        tasks(errors) {
-    auto paf = kj::newPromiseAndFulfiller<void>();
-    dropped = kj::mv(paf.promise);
-    drop = kj::mv(paf.fulfiller);
-  }
-
-  wire::EntryPort::Client Bootstrap() {
-    capnp::MallocMessageBuilder message;
-    auto id = message.initRoot<capnp::rpc::twoparty::VatId>();
-    id.setSide(capnp::rpc::twoparty::Side::SERVER);
-    return rpc.bootstrap(id).castAs<wire::EntryPort>();
-  }
-
-  kj::Own<kj::AsyncIoStream> stream;
-  capnp::TwoPartyVatNetwork network;
-  capnp::RpcSystem<capnp::rpc::twoparty::VatId> rpc;
-  wire::EntryPort::Client entry;
-  wire::EntrySession::Client session;
-  kj::Promise<void> dropped = nullptr;
-  kj::Own<kj::PromiseFulfiller<void>> drop;
-  kj::TaskSet tasks;
-};
-
 entry_link::entry_link(std::string address, context& shared)
     : address_(std::move(address)),
       shared_(shared),
@@ -98,8 +70,9 @@
       })
       .then([this] {
         Close();
+        const bool alias = std::exchange(is_alias_, false);
         return shared_.io.getTimer().afterDelay(
-            ToKj(backoff_.Next(shared_.random)));
+            alias ? kAliasDelay : ToKj(backoff_.Next(shared_.random)));
       })
       .then([this] { tasks_->add(Run()); });
 }
@@ -115,7 +88,7 @@
           })
           .then([this](kj::Own<kj::AsyncIoStream>&& stream) {
             ++serial_;
-            connection_ = kj::heap<connection>(
+            connection_ = kj::heap<agent::internal::entry_connection>(
                 kj::mv(stream), static_cast<kj::TaskSet::ErrorHandler&>(*this));
             return Handshake();
           });
@@ -139,6 +112,7 @@
     const incarnation id{entry.getIncarnation()};
     if (shared_.core.IsConnected(id)) {
       // Two addresses of one entry would fence each other's starts.
+      is_alias_ = true;
       kj::throwFatalException(
           KJ_EXCEPTION(FAILED, "connected through another address"));
     }
--- a/src/jayrill/agent/entry_link.h
+++ b/src/jayrill/agent/entry_link.h
@@ -1,7 +1,6 @@
 #ifndef JAYRILL_AGENT_ENTRY_LINK_H_
 #define JAYRILL_AGENT_ENTRY_LINK_H_
 
-#include <capnp/rpc-twoparty.h>
 #include <kj/async-io.h>
 
 #include <cstdint>
@@ -18,6 +17,10 @@
 
 namespace jayrill {
 
+namespace agent::internal {
+struct entry_connection;
+}  // namespace agent::internal
+
 /// The agent's connection to one entry address: dials, opens or resumes the
 /// session, takes starts and sends reports. Dials again when it is cut.
 ///
@@ -74,8 +77,6 @@
                    capnp::List<capnp::Text>::Reader entries);
 
  private:
-  struct connection;
-
   kj::Promise<void> Run();
   kj::Promise<void> Attempt();
   kj::Promise<void> Handshake();
@@ -99,6 +100,7 @@
   std::uint64_t serial_ = 0;
   bool welcomed_ = false;
   bool dropping_ = false;
+  bool is_alias_ = false;  // The entry is connected through another address.
   bool report_scheduled_ = false;
   bool status_timer_set_ = false;
   bool config_wanted_ = false;
@@ -108,7 +110,7 @@
   config_revision entry_revision_;  // Newest that the entry is known to have.
   std::vector<std::string> listed_;
   std::vector<start_batch> early_batches_;  // Arrived before the welcome.
-  kj::Own<connection> connection_;
+  kj::Own<agent::internal::entry_connection> connection_;
   kj::Own<kj::TaskSet> tasks_;
 };
 
--- /dev/null
+++ b/src/jayrill/agent/internal/entry_connection.h
@@ -0,0 +1,47 @@
+#ifndef JAYRILL_AGENT_INTERNAL_ENTRY_CONNECTION_H_
+#define JAYRILL_AGENT_INTERNAL_ENTRY_CONNECTION_H_
+
+#include <capnp/message.h>
+#include <capnp/rpc-twoparty.h>
+#include <kj/async-io.h>
+
+#include "jayrill/rpc/dispatch.capnp.h"
+
+namespace jayrill::agent::internal {
+
+/// One RPC connection to an entry. Members are destroyed in reverse order:
+/// pending calls first, the stream last.
+struct entry_connection {
+  entry_connection(kj::Own<kj::AsyncIoStream> opened,
+                   kj::TaskSet::ErrorHandler& errors)
+      : stream(kj::mv(opened)),
+        network(*stream, capnp::rpc::twoparty::Side::CLIENT),
+        rpc(capnp::makeRpcClient(network)),
+        entry(Bootstrap()),
+        session(nullptr),
+        tasks(errors) {
+    auto paf = kj::newPromiseAndFulfiller<void>();
+    dropped = kj::mv(paf.promise);
+    drop = kj::mv(paf.fulfiller);
+  }
+
+  wire::EntryPort::Client Bootstrap() {
+    capnp::MallocMessageBuilder message;
+    auto id = message.initRoot<capnp::rpc::twoparty::VatId>();
+    id.setSide(capnp::rpc::twoparty::Side::SERVER);
+    return rpc.bootstrap(id).castAs<wire::EntryPort>();
+  }
+
+  kj::Own<kj::AsyncIoStream> stream;
+  capnp::TwoPartyVatNetwork network;
+  capnp::RpcSystem<capnp::rpc::twoparty::VatId> rpc;
+  wire::EntryPort::Client entry;
+  wire::EntrySession::Client session;
+  kj::Promise<void> dropped = nullptr;
+  kj::Own<kj::PromiseFulfiller<void>> drop;
+  kj::TaskSet tasks;
+};
+
+}  // namespace jayrill::agent::internal
+
+#endif  // JAYRILL_AGENT_INTERNAL_ENTRY_CONNECTION_H_
--- a/src/jayrill/agent/minion_client.h
+++ b/src/jayrill/agent/minion_client.h
@@ -56,8 +56,9 @@
   listener listener_;
   bool left_ = false;
   std::uint32_t running_ = 0;
-  QObject calls_;  // Parent of the calls that have not ended.
   std::vector<std::unique_ptr<manager>> managers_;
+  // Parent of the calls that have not ended; destroyed before their managers.
+  QObject calls_;
 };
 
 }  // namespace jayrill
--- a/tests/integration/agent_fixture.h
+++ b/tests/integration/agent_fixture.h
@@ -5,7 +5,9 @@
 
 #include <QCoreApplication>
 #include <QEventLoop>
+#include <atomic>
 #include <chrono>
+#include <fstream>
 #include <functional>
 #include <memory>
 #include <string>
@@ -17,6 +19,18 @@
 
 namespace jayrill {
 
+/// A clock that a test moves forward, as a stop of the process would.
+class shifted_clock final : public clock {
+ public:
+  steady_time Now() const override { return base_.Now() + shift_.load(); }
+  wall_time WallNow() const override { return base_.WallNow(); }
+  void Shift(std::chrono::milliseconds step) { shift_ = shift_.load() + step; }
+
+ private:
+  system_clock base_;
+  std::atomic<std::chrono::milliseconds> shift_{};
+};
+
 /// An agent between a fake entry and a sample backend, in one process.
 class agent_fixture : public ::testing::Test {
  protected:
@@ -100,7 +114,19 @@
     return result;
   }
 
-  system_clock time;
+  static long ResidentKilobytes() {
+    std::ifstream status("/proc/self/status");
+    for (std::string word; status >> word;) {
+      if (word == "VmRSS:") {
+        long kilobytes = 0;
+        status >> kilobytes;
+        return kilobytes;
+      }
+    }
+    return 0;
+  }
+
+  shifted_clock time;
   fake_entry entry{1};
   std::unique_ptr<agent_process> agent;
   std::unique_ptr<sample_backend> minion;
--- a/tests/integration/agent_test.cc
+++ b/tests/integration/agent_test.cc
@@ -1,3 +1,5 @@
+#include <iostream>
+
 #include "agent_fixture.h"
 
 namespace jayrill {
@@ -15,5 +17,226 @@
   EXPECT_EQ(minion->record().total(), 2U);
 }
 
+struct fault_case {
+  const char* name;
+  sample_fault fault;
+  int remaining_ms;
+  task_outcome outcome;
+};
+
+class minion_fault_test : public agent_fixture,
+                          public ::testing::WithParamInterface<fault_case> {};
+
+// Guards against a task that is executed again by a repeated request, and
+// against an outcome that claims more than is known.
+TEST_P(minion_fault_test, HasTrueOutcomeAndRunsOnce) {
+  Launch(1);
+  // The first task leaves a connection open that the second one reuses.
+  ASSERT_EQ(RunOne(Order(1, 0)).outcome, task_outcome::kSucceeded);
+  minion->SetFault(GetParam().fault);
+  start_order order = Order(2, 0);
+  order.remaining = std::chrono::milliseconds(GetParam().remaining_ms);
+  const task_result result = RunOne(order);
+  EXPECT_EQ(result.outcome, GetParam().outcome) << result.message;
+  EXPECT_FALSE(result.message.empty());
+  // A repeated request would arrive before the next task.
+  if (GetParam().fault != sample_fault::kNever) {
+    minion->SetFault(sample_fault::kNone);
+    EXPECT_EQ(RunOne(Order(3, 0)).outcome, task_outcome::kSucceeded);
+  }
+  EXPECT_EQ(minion->record().CountOf("000000000000004d-1", "2"), 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Faults,
+    minion_fault_test,
+    ::testing::Values(
+        fault_case{"Fail", sample_fault::kFail, 60'000, task_outcome::kFailed},
+        fault_case{"NotJson", sample_fault::kNotJson, 60'000,
+                   task_outcome::kFailed},
+        fault_case{"NotHttp", sample_fault::kNotHttp, 60'000,
+                   task_outcome::kUnknown},
+        fault_case{"Drop", sample_fault::kDrop, 60'000, task_outcome::kUnknown},
+        fault_case{"Reset", sample_fault::kReset, 60'000,
+                   task_outcome::kUnknown},
+        fault_case{"Truncate", sample_fault::kTruncate, 60'000,
+                   task_outcome::kUnknown},
+        fault_case{"Huge", sample_fault::kHuge, 60'000, task_outcome::kFailed},
+        fault_case{"Endless", sample_fault::kEndless, 60'000,
+                   task_outcome::kFailed},
+        fault_case{"Never", sample_fault::kNever, 300, task_outcome::kUnknown}),
+    [](const auto& tested) { return tested.param.name; });
+
+// Guards against a refused connection that is reported as a possible run, and
+// against one on a new connection after an old one was closed.
+TEST_F(agent_fixture, ReportsARefusedConnectionAsNotRun) {
+  Launch(1);
+  ASSERT_EQ(RunOne(Order(1, 0)).outcome, task_outcome::kSucceeded);
+  minion.reset();
+  const task_result result = RunOne(Order(2, 0));
+  EXPECT_EQ(result.outcome, task_outcome::kNotRun);
+  EXPECT_EQ(result.reason, not_run_reason::kConnectionRefused);
+}
+
+// Guards against a slot that is given away while a task may still run.
+TEST_F(agent_fixture, KeepsTheSlotOfATaskPastItsDeadline) {
+  agent_settings settings;
+  settings.slot_hold_limit = std::chrono::milliseconds(1500);
+  Launch(1, settings);
+  minion->SetFault(sample_fault::kNever);
+  start_order order = Order(1, 0);
+  order.remaining = std::chrono::milliseconds(100);
+  EXPECT_EQ(RunOne(order).outcome, task_outcome::kUnknown);
+  EXPECT_EQ(entry.Record().status.busy, 1U);
+  minion->SetFault(sample_fault::kNone);
+  EXPECT_EQ(RunOne(Order(2, 0)).outcome, task_outcome::kSucceeded);
+  EXPECT_EQ(entry.Record().results.at(start_number{1}).size(), 1U);
+}
+
+// Guards against starts under an old configuration, and against an entry that
+// does not get the newer one.
+TEST_F(agent_fixture, RefusesStaleConfigAndHandsOverTheNewer) {
+  Launch(1);
+  fake_entry other(2);
+  other.SetWelcome(Config(3), false);
+  entry.Heartbeat({other.address()});  // The agent learns the other entry.
+  ASSERT_TRUE(WaitFor([&] {
+    return !other.Record().hellos.empty() &&
+           entry.Record().status.revision == config_revision{3};
+  }));
+  const task_result refused = RunOne(Order(1, 0), 1);
+  EXPECT_EQ(refused.reason, not_run_reason::kStaleConfig);
+  EXPECT_TRUE(WaitFor(
+      [&] { return entry.Record().newest_config == config_revision{3}; }));
+  EXPECT_EQ(RunOne(Order(2, 0), 3).outcome, task_outcome::kSucceeded);
+  EXPECT_EQ(minion->record().total(), 1U);
+}
+
+// Guards against starts in a data centre that operators have taken out.
+TEST_F(agent_fixture, StartsNothingInADataCentreThatIsOut) {
+  Launch(1);
+  entry.Send({config_revision{1}, {}, {Order(1, 300), Order(2, 0)}});
+  ASSERT_TRUE(WaitFor([&] { return minion->record().total() == 1; }));
+  entry.Configure(Config(2, "east"));
+  EXPECT_EQ(ResultOf(2).reason, not_run_reason::kDataCentreOut);
+  EXPECT_EQ(RunOne(Order(3, 0), 2).reason, not_run_reason::kDataCentreOut);
+  EXPECT_EQ(ResultOf(1).outcome, task_outcome::kSucceeded);
+  EXPECT_EQ(minion->record().total(), 1U);
+}
+
+// Guards against results that a cut loses, and against starts of the old
+// connection that run after the entry was told that they are fenced.
+TEST_F(agent_fixture, ResendsResultsAndFencesOldStartsAfterACut) {
+  Launch(1);
+  entry.HoldAcknowledgements(true);
+  ASSERT_EQ(RunOne(Order(1, 0)).outcome, task_outcome::kSucceeded);
+  entry.SetWelcome(Config(1), true);
+  entry.HoldAcknowledgements(false);
+  const auto first = entry.Record().hellos.front();
+  entry.Cut();
+  ASSERT_TRUE(WaitFor(
+      [&] { return entry.Record().results.at(start_number{1}).size() == 2; }));
+  const auto second = entry.Record().hellos.back();
+  EXPECT_GT(second.epoch, first.epoch);
+  EXPECT_EQ(second.last_accepted, start_number{1});
+  entry.Send({config_revision{1}, first.epoch, {Order(2, 0)}});
+  EXPECT_EQ(RunOne(Order(3, 0)).outcome, task_outcome::kSucceeded);
+  const auto results = entry.Record().results;
+  EXPECT_FALSE(results.contains(start_number{2}));
+  EXPECT_EQ(results.at(start_number{1}).front(),
+            results.at(start_number{1}).back());
+  EXPECT_EQ(minion->record().total(), 2U);
+}
+
+// Guards against results of a closed session that settle starts of the next
+// one, whose numbers begin again.
+TEST_F(agent_fixture, DropsResultsOfAClosedSession) {
+  Launch(2);
+  entry.Send({config_revision{1}, {}, {Order(1, 300)}});
+  ASSERT_TRUE(WaitFor([&] { return minion->running() == 1; }));
+  entry.Cut();
+  ASSERT_TRUE(WaitFor([&] { return entry.Record().hellos.size() == 2; }));
+  entry.Send({config_revision{1}, {}, {Order(1, 600)}});
+  EXPECT_EQ(ResultOf(1).body, R"({"task":1,"echo":{"work_ms":600}})");
+}
+
+// Guards against a withdrawn start that runs and against a cancellation of a
+// running one.
+TEST_F(agent_fixture, CancelsOnlyWaitingStarts) {
+  Launch(1);
+  entry.Send({config_revision{1}, {}, {Order(1, 200), Order(2, 0)}});
+  ASSERT_TRUE(WaitFor([&] { return minion->running() == 1; }));
+  entry.Cancel(start_number{1});
+  entry.Cancel(start_number{2});
+  EXPECT_EQ(ResultOf(2).reason, not_run_reason::kCancelled);
+  EXPECT_EQ(ResultOf(1).outcome, task_outcome::kSucceeded);
+  EXPECT_EQ(minion->record().total(), 1U);
+}
+
+// Guards against new work for a minion that leaves, and against an
+// interruption of its running task.
+TEST_F(agent_fixture, GivesALeavingMinionNothingNew) {
+  Launch(1);
+  entry.Send({config_revision{1}, {}, {Order(1, 300), Order(2, 0)}});
+  ASSERT_TRUE(WaitFor([&] { return minion->running() == 1; }));
+  bool stopped = false;
+  minion->Stop([&stopped] { stopped = true; });
+  EXPECT_EQ(ResultOf(2).reason, not_run_reason::kDraining);
+  EXPECT_EQ(RunOne(Order(3, 0)).reason, not_run_reason::kDraining);
+  EXPECT_EQ(ResultOf(1).outcome, task_outcome::kSucceeded);
+  EXPECT_TRUE(WaitFor([&] { return stopped; }));
+  EXPECT_EQ(minion->record().total(), 1U);
+}
+
+// Guards against a planned stop that interrupts a running task, loses its
+// result or leaves queued starts without one.
+TEST_F(agent_fixture, StopsGracefully) {
+  Launch(1);
+  bool stopped = false;
+  agent->OnStopped([&stopped] { stopped = true; });
+  entry.Send({config_revision{1}, {}, {Order(1, 600), Order(2, 0)}});
+  ASSERT_TRUE(WaitFor([&] { return minion->running() == 1; }));
+  agent->Stop();
+  EXPECT_EQ(ResultOf(2).reason, not_run_reason::kDraining);
+  EXPECT_FALSE(stopped);
+  EXPECT_EQ(ResultOf(1).outcome, task_outcome::kSucceeded);
+  EXPECT_TRUE(WaitFor([&] { return stopped; }));
+  EXPECT_EQ(entry.Record().goodbyes, 1);
+}
+
+// Guards against starts that waited while the agent was paused: it must
+// reconnect, and receive the configuration, before it accepts any.
+TEST_F(agent_fixture, ReconnectsAfterAPause) {
+  Launch(1);
+  entry.Send({config_revision{1}, {}, {Order(1, 500), Order(2, 0)}});
+  ASSERT_TRUE(WaitFor([&] { return minion->running() == 1; }));
+  entry.SetWelcome(Config(2, "east"), true);
+  time.Shift(std::chrono::milliseconds(1500));
+  EXPECT_EQ(ResultOf(2).reason, not_run_reason::kPaused);
+  ASSERT_TRUE(WaitFor([&] { return entry.Record().hellos.size() == 2; }));
+  EXPECT_GT(entry.Record().hellos.back().epoch,
+            entry.Record().hellos.front().epoch);
+  EXPECT_EQ(RunOne(Order(3, 0), 2).reason, not_run_reason::kDataCentreOut);
+  EXPECT_EQ(minion->record().total(), 1U);
+}
+
+// Guards against lost or doubled starts under load, and records the resident
+// memory of agent, minion and entry in one process.
+TEST_F(agent_fixture, RunsManyStartsOnEverySlot) {
+  Launch(8);
+  constexpr std::uint64_t kStarts = 3000;
+  start_batch batch{config_revision{1}, {}, {}};
+  for (std::uint64_t number = 1; number <= kStarts; ++number) {
+    batch.starts.push_back(Order(number, 2));
+  }
+  entry.Send(std::move(batch));
+  EXPECT_TRUE(
+      WaitFor([&] { return entry.Record().results.size() == kStarts; }));
+  EXPECT_EQ(minion->record().total(), kStarts);
+  RecordProperty("resident_kb", std::to_string(ResidentKilobytes()));
+  std::cout << "resident: " << ResidentKilobytes()
+            << " kB, reports: " << entry.Record().reports << '\n';
+}
+
 }  // namespace
 }  // namespace jayrill
--- a/tests/integration/fake_entry.h
+++ b/tests/integration/fake_entry.h
@@ -63,7 +63,6 @@
   struct peer;
   struct state;
 
-  void RunLoop();
   void Post(std::function<void(state&)> work);
 
   const std::uint64_t incarnation_;
