Check in the agent property that results settle their own task

Trial mutations of agent_core that let starts of a closed session run, or that let their results settle starts of the next session, passed before.

--- a/tests/unit/agent_core_test.cc
+++ b/tests/unit/agent_core_test.cc
@@ -285,15 +285,16 @@
   std::uint64_t revision = 5;
   bool out = false;
   bool left = false;
-  std::set<std::uint64_t> running;
+  std::map<std::uint64_t, std::uint32_t> running;  // Task by call.
 
   const auto take_calls = [&] {
     for (; !rig.host.calls.empty(); rig.host.calls.pop_front()) {
       const task_call& call = rig.host.calls.front();
       RC_ASSERT(++runs[call.order.task_index] == 1);
       RC_ASSERT(!not_run.contains(call.order.task_index));
+      RC_ASSERT(!lost.contains(call.order.task_index));
       RC_ASSERT(!out && !left);
-      running.insert(call.id);
+      running[call.id] = call.order.task_index;
       RC_ASSERT(running.size() <= 2U);
     }
   };
@@ -303,6 +304,9 @@
       RC_ASSERT(runs[task->task_index] == 0);
       not_run.insert(task->task_index);
     }
+    if (task && result.outcome == task_outcome::kSucceeded) {
+      RC_ASSERT(result.body == std::to_string(task->task_index));
+    }
   };
   const auto deliver_results = [&] {
     std::vector<start_number> numbers;
@@ -333,7 +337,8 @@
   const auto finish_call = [&] {
     task_result done;
     done.outcome = task_outcome::kSucceeded;
-    const std::uint64_t id = *running.begin();
+    const auto [id, task] = *running.begin();
+    done.body = std::to_string(task);
     rig.core.OnResult(id, done);
     running.erase(id);
     rig.core.OnSlotFree(id);
