--- a/tests/entry/dispatcher_property_test.cc
+++ b/tests/entry/dispatcher_property_test.cc
@@ -37,7 +37,7 @@
     }
     Recover();
     // No job may be left when all deadlines have passed.
-    cluster_.Advance(seconds(6));
+    cluster_.Advance(seconds(21));
     RC_ASSERT(cluster_.decisions.size() == cluster_.task_counts.size());
     RC_ASSERT(cluster_.entry.Status().jobs == 0);
     for (int i = 0; i < 200; ++i) {
@@ -54,7 +54,7 @@
     if (kind < 4) {
       cluster_.Submit(fake_cluster::Job(
           1 + random_.Below(6),
-          milliseconds(static_cast<std::int64_t>(random_.Below(5000)))));
+          milliseconds(static_cast<std::int64_t>(random_.Below(20'000)))));
     } else if (kind < 36) {
       agent.DeliverBatch();
     } else if (kind < 56) {
@@ -65,7 +65,7 @@
       agent.Report(cluster_.entry, random_.Below(3) > 0);
     } else if (kind < 94) {
       cluster_.Advance(
-          milliseconds(static_cast<std::int64_t>(random_.Below(200))));
+          milliseconds(static_cast<std::int64_t>(random_.Below(500))));
     } else {
       Disturb(agent, random_.Below(15));
     }
--- a/tests/entry/leaving_test.cc
+++ b/tests/entry/leaving_test.cc
@@ -149,7 +149,7 @@
     stays_->Report(cluster_.entry, true);
   }
   cluster_.Advance(milliseconds(100));
-  EXPECT_EQ(TakeSent(leaves_), 7U);
+  EXPECT_EQ(TakeSent(leaves_), 7U + kLookahead);
 }
 
 // Guards against a minion that fails everything and draws all work.
--- a/tests/entry/refusal_test.cc
+++ b/tests/entry/refusal_test.cc
@@ -131,17 +131,23 @@
         refusal_case{"placement_impossible",
                      [](fake_cluster& cluster) {
                        MakeReady(cluster,
-                                 WithProfile(Placed({.min_cores = 8})));
+                                 WithProfile(Placed(
+                                     {.data_centres = {}, .min_cores = 8})));
                      }},
         refusal_case{"placement_impossible",
                      [](fake_cluster& cluster) {
                        MakeReady(cluster,
-                                 WithProfile(Placed({.min_memory_mb = 1})));
+                                 WithProfile(Placed({.data_centres = {},
+                                                     .min_cores = 0,
+                                                     .min_memory_mb = 1})));
                      }},
         refusal_case{"placement_impossible",
                      [](fake_cluster& cluster) {
                        MakeReady(cluster,
-                                 WithProfile(Placed({.min_accelerators = 1})));
+                                 WithProfile(Placed({.data_centres = {},
+                                                     .min_cores = 0,
+                                                     .min_memory_mb = 0,
+                                                     .min_accelerators = 1})));
                      }},
         refusal_case{"placement_impossible",
                      [](fake_cluster& cluster) {
@@ -164,6 +170,7 @@
 TEST(isolation_test, EndsWithTheStore) {
   fake_cluster cluster;
   MakeReady(cluster);
+  cluster.agents[0].Report(cluster.entry, true);
   cluster.Advance(seconds(2) + kDispatchTick);
   EXPECT_TRUE(cluster.entry.Status().isolated);
   cluster.entry.ConfirmConfig();
