Keep the earliest expected end of each minion's starts

Cause: the views of full minions went through all outstanding starts in every pass, which was the largest part of the choose-and-send path.

Ruled out: views that are kept between passes, because slow start, health and expected ends change them with time.

Change: a session keeps its earliest expected end and looks at all starts only when that one is overdue; slow start is computed only while it lasts.

--- a/src/jayrill/entry/agent_session.cc
+++ b/src/jayrill/entry/agent_session.cc
@@ -49,6 +49,7 @@
   effect.resumed = open_;
   expected_ends_.erase(expected_ends_.upper_bound(hello.last_accepted),
                        expected_ends_.end());
+  UpdateEarliestEnd();
   if (!open_) {
     joined_ = ramp ? now : now - kSlowStartTime;
     avoid_until_ = now;
@@ -79,6 +80,7 @@
   open_ = false;
   connected_ = false;
   expected_ends_.clear();
+  earliest_end_ = steady_time::max();
   other_load_ = 0;
   return window_.Close();
 }
@@ -125,9 +127,10 @@
   const start_number number = window_.Add(task);
   const std::chrono::duration<double, std::micro> expected =
       run_time * slowness_;
-  expected_ends_.emplace_hint(
-      expected_ends_.end(), number,
-      now + std::chrono::duration_cast<steady_duration>(expected));
+  const steady_time end =
+      now + std::chrono::duration_cast<steady_duration>(expected);
+  expected_ends_.emplace_hint(expected_ends_.end(), number, end);
+  earliest_end_ = std::min(earliest_end_, end);
   health_.OnStart(now);
   return number;
 }
@@ -135,6 +138,7 @@
 std::optional<agent_session::task_ref> agent_session::Take(
     start_number number) {
   expected_ends_.erase(number);
+  UpdateEarliestEnd();
   return window_.Take(number);
 }
 
@@ -186,7 +190,10 @@
   view.slowness = slowness_;
   switch (health_.Permission(now)) {
     case minion_health::permission::kOpen: {
-      const std::uint32_t limit = SlowStartLimit(joined_, now, view.slots);
+      const std::uint32_t limit =
+          now - joined_ >= kSlowStartTime
+              ? view.slots
+              : SlowStartLimit(joined_, now, view.slots);
       view.start_limit = limit < view.slots ? limit : view.slots + lookahead;
       break;
     }
@@ -204,21 +211,40 @@
 
 std::chrono::microseconds agent_session::ExpectedFree(steady_time now) const {
   using std::chrono::microseconds;
-  const auto reported =
-      std::chrono::duration_cast<microseconds>(reported_free_ - now);
-  std::optional<microseconds> earliest;
-  if (other_load_ > 0 && reported.count() > 0) {
-    earliest = reported;
+  auto earliest = microseconds::max();
+  if (earliest_end_ != steady_time::max()) {
+    earliest =
+        earliest_end_ >= now
+            ? std::chrono::duration_cast<microseconds>(earliest_end_ - now)
+            : EarliestOverdue(now);
   }
+  if (other_load_ > 0 && reported_free_ > now) {
+    earliest = std::min(earliest, std::chrono::duration_cast<microseconds>(
+                                      reported_free_ - now));
+  }
+  return earliest == microseconds::max() ? microseconds{0} : earliest;
+}
+
+std::chrono::microseconds agent_session::EarliestOverdue(
+    steady_time now) const {
+  using std::chrono::microseconds;
+  auto earliest = microseconds::max();
   for (const auto& [number, end] : expected_ends_) {
     auto left = std::chrono::duration_cast<microseconds>(end - now);
     if (left.count() < 0) {
       left = microseconds(static_cast<std::int64_t>(
           static_cast<double>(-left.count()) * kOverdueFraction));
     }
-    earliest = earliest ? std::min(*earliest, left) : left;
+    earliest = std::min(earliest, left);
+  }
+  return earliest;
+}
+
+void agent_session::UpdateEarliestEnd() {
+  earliest_end_ = steady_time::max();
+  for (const auto& [number, end] : expected_ends_) {
+    earliest_end_ = std::min(earliest_end_, end);
   }
-  return earliest.value_or(microseconds{0});
 }
 
 void agent_session::OnAcknowledgement(std::uint64_t push,
--- a/src/jayrill/entry/agent_session.h
+++ b/src/jayrill/entry/agent_session.h
@@ -106,6 +106,8 @@
 
  private:
   std::chrono::microseconds ExpectedFree(steady_time now) const;
+  std::chrono::microseconds EarliestOverdue(steady_time now) const;
+  void UpdateEarliestEnd();
 
   agent_handle handle_;
   std::string agent_id_;
@@ -113,6 +115,7 @@
   start_window window_;
   connection_id connection_;
   std::map<start_number, steady_time> expected_ends_;
+  steady_time earliest_end_ = steady_time::max();  ///< Of expected_ends_.
   minion_health health_;
   bool open_ = false;
   bool connected_ = false;
