--- a/src/jayrill/entry/module.cmake
+++ b/src/jayrill/entry/module.cmake
@@ -1,7 +1,11 @@
 jayrill_module(entry
   SOURCES admission.cc agent_connection.cc agent_server.cc agent_session.cc
-          agent_table.cc dispatch_service.cc dispatcher.cc dispatcher_jobs.cc
-          dispatcher_results.cc dispatcher_sending.cc entry_port_server.cc
-          job_table.cc service_pool.cc task_placer.cc
+          agent_table.cc answer_cache.cc dispatch_service.cc dispatcher.cc
+          dispatcher_jobs.cc dispatcher_results.cc dispatcher_sending.cc
+          entry_port_server.cc guarded_socket.cc http_exchange.cc
+          http_framer.cc http_guard.cc http_server.cc job_api.cc
+          job_refusals.cc job_table.cc request_key.cc service_pool.cc
+          task_placer.cc
   DEPENDS jayrill_placement jayrill_rpc jayrill_session jayrill_config
-          glog::glog)
+          jayrill_job jayrill_metrics glog::glog
+          Qt6::Core Qt6::Network Qt6::HttpServer)
