Add the operator endpoints and the entry process

The entry wires the store, configuration, claims, membership and the dispatcher with the HTTP APIs. A graceful stop refuses new jobs as not run, waits for the dispatcher and for claims that are being written, stores the ends of claims, leaves the membership and closes the connections last.

--- a/src/jayrill/entry/claim_port.h
+++ b/src/jayrill/entry/claim_port.h
@@ -3,55 +3,30 @@
 
 #include <cstdint>
 #include <functional>
-#include <optional>
 #include <string>
 
-#include "jayrill/base/error.h"
-#include "jayrill/job/job_outcome.h"
+#include "jayrill/claim/claim_decision.h"
 
 namespace jayrill {
 
-/// Answer to the attempt to claim a request key.
-struct claim_answer {
-  enum class state {
-    kGranted,           ///< The claim is durable: the job may run.
-    kRunningHere,       ///< A claim of this entry; its end is not yet written.
-    kRunningElsewhere,  ///< Claimed by another entry, alive or not.
-    kEnded,
-    kKeyReused,  ///< Claimed for a job with another content.
-  };
-
-  state claim = state::kRunningElsewhere;
-  /// Of an ended claim: "complete" or the name of the job's effect.
-  std::string ended_as;
-  /// Of an ended claim, when its outcome is kept.
-  std::optional<job_outcome> outcome;
-};
-
-/// What job_api needs of the claim ledger. Belongs to the Qt thread; callbacks
-/// run on it later, exactly once.
+/// What job_api needs of the claim ledger. Belongs to the Qt thread; the
+/// callback runs on it later, exactly once.
 class claim_port {
  public:
-  using acquire_callback = std::function<void(result<claim_answer>)>;
+  using decision_function = std::function<void(const claim_decision&)>;
 
   virtual ~claim_port() = default;
 
-  /// Claims \p key for a job with the hash \p content. An error means that the
-  /// claim is not and will not be held by this call, except one of kind
-  /// kUnknownOutcome.
+  /// Claims \p key for a job with the hash \p content.
   virtual void Acquire(const std::string& key,
                        std::uint64_t content,
-                       acquire_callback done) = 0;
+                       decision_function decided) = 0;
 
-  /// Records the outcome of a job that holds the claim of \p key.
-  virtual void End(const std::string& key, const job_outcome& outcome) = 0;
+  /// Records the end of the job that holds the claim of \p key.
+  virtual void End(const std::string& key, ended_outcome outcome) = 0;
 
-  /// Gives up the claim of \p key, whose job has not run.
+  /// Gives up the claim of \p key, whose job has not run and will not.
   virtual void Release(const std::string& key) = 0;
-
-  /// Calls \p done when everything given to End and Release is written, or
-  /// cannot be written within a short time.
-  virtual void Flush(std::function<void()> done) = 0;
 };
 
 }  // namespace jayrill
--- /dev/null
+++ b/src/jayrill/entry/entry_process.h
@@ -0,0 +1,118 @@
+#ifndef JAYRILL_ENTRY_ENTRY_PROCESS_H_
+#define JAYRILL_ENTRY_ENTRY_PROCESS_H_
+
+#include <QtCore/QTimer>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "jayrill/base/clock.h"
+#include "jayrill/base/error.h"
+#include "jayrill/claim/claim_ledger.h"
+#include "jayrill/config/config_store.h"
+#include "jayrill/entry/dispatch_service.h"
+#include "jayrill/entry/entry_settings.h"
+#include "jayrill/entry/entry_status.h"
+#include "jayrill/entry/http_server.h"
+#include "jayrill/entry/job_api.h"
+#include "jayrill/entry/ledger_claims.h"
+#include "jayrill/entry/operator_api.h"
+#include "jayrill/membership/membership.h"
+#include "jayrill/metrics.h"
+#include "jayrill/store/qt_scheduler.h"
+#include "jayrill/store/store.h"
+
+namespace jayrill {
+
+/// The entry role. Runs HTTP and the store client on the Qt main thread, which
+/// creates it, and the dispatcher on a thread of its own.
+class entry_process final {
+ public:
+  /// \p backing is used in place of the store of the settings if it is not
+  /// null. It and \p time must outlive this object.
+  entry_process(entry_settings settings,
+                const clock& time,
+                store* backing = nullptr);
+
+  /// Ends at once unless the graceful stop has finished.
+  ~entry_process();
+  entry_process(const entry_process&) = delete;
+  entry_process& operator=(const entry_process&) = delete;
+
+  /// Sets the function that is called on the Qt thread after a graceful stop.
+  void OnStopped(std::function<void()> stopped) {
+    stopped_ = std::move(stopped);
+  }
+
+  /// Begins to listen for callers and agents. Called at most once.
+  result<void> Start();
+
+  /// Begins a graceful stop: refuses new jobs as not run, finishes everything
+  /// in flight, stores the ends of claims and leaves the membership.
+  void Stop();
+
+  /// \name Ports after Start.
+  /// @{
+  std::uint16_t http_port() const { return http_port_; }
+  std::uint16_t rpc_port() const { return rpc_port_; }
+  /// @}
+
+  /// \returns true when GET /readyz would answer 200.
+  bool IsReady() const;
+
+ private:
+  void MakeStoreClients();
+  void MakeApis();
+  void JoinMembership();
+  void AddHealthRoutes();
+  result<void> Listen();
+  void Tick();
+  void OnConfig(const shared_config& config);
+  void OnConfirmed();
+  void OnEntries(const std::vector<entry_record>& entries);
+  void OnStatus(dispatch_status status);
+  void GetStatus(std::function<void(dispatch_status)> done);
+  std::optional<wall_time> UnconfirmedSince() const;
+  entry_status Status(dispatch_status dispatch) const;
+  void UpdateShares();
+  void CheckDrained();
+  void OnDrained();
+  void OnClaimsStored();
+  void OnLeft();
+
+  entry_settings settings_;
+  const clock& time_;
+  std::function<void()> stopped_;
+  random_source random_;
+  incarnation incarnation_;
+  metric_registry metrics_;
+  qt_scheduler timers_;
+  std::unique_ptr<store> own_store_;
+  store* store_;
+  dispatch_service dispatch_;
+  std::unique_ptr<config_store> config_;
+  std::unique_ptr<claim_ledger> ledger_;
+  std::unique_ptr<ledger_claims> claims_;
+  std::unique_ptr<membership> membership_;
+  std::unique_ptr<job_api> jobs_;
+  std::unique_ptr<operator_api> operators_;
+  std::unique_ptr<http_server> http_;
+  QTimer tick_;
+  std::uint16_t http_port_ = 0;
+  std::uint16_t rpc_port_ = 0;
+  bool has_config_ = false;
+  bool stopping_ = false;
+  bool drained_ = false;  ///< The dispatcher has decided every job.
+  bool storing_ = false;  ///< The ends of claims are being stored.
+  std::optional<steady_time> confirmed_;
+  wall_time last_confirmed_;  ///< The start, before the first confirmation.
+  dispatch_status status_;    ///< As of the last tick.
+  callback_guard guard_;
+};
+
+}  // namespace jayrill
+
+#endif  // JAYRILL_ENTRY_ENTRY_PROCESS_H_
--- /dev/null
+++ b/src/jayrill/entry/entry_status.h
@@ -0,0 +1,37 @@
+#ifndef JAYRILL_ENTRY_ENTRY_STATUS_H_
+#define JAYRILL_ENTRY_ENTRY_STATUS_H_
+
+#include <QtCore/QJsonObject>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "jayrill/base/clock.h"
+#include "jayrill/entry/dispatch_port.h"
+#include "jayrill/membership/entry_record.h"
+
+namespace jayrill {
+
+/// Everything that GET /v1/status shows, as one entry sees it.
+struct entry_status {
+  std::string id;
+  std::string data_centre;
+  shared_config config;  ///< Null while there is none.
+  bool ready = false;
+  /// When the store last confirmed the configuration, if that is too long ago.
+  std::optional<wall_time> unconfirmed_since;
+  bool store_reachable = false;
+  dispatch_status dispatch;
+  std::vector<entry_record> entries;
+};
+
+/// \returns the JSON form of \p status.
+QJsonObject ToJson(const entry_status& status);
+
+/// \returns the record of this entry for the other entries. The fields that do
+/// not change are taken from \p fixed.
+entry_record MakeEntryRecord(const dispatch_status& status, entry_record fixed);
+
+}  // namespace jayrill
+
+#endif  // JAYRILL_ENTRY_ENTRY_STATUS_H_
--- a/src/jayrill/entry/job_api.cc
+++ b/src/jayrill/entry/job_api.cc
@@ -5,9 +5,9 @@
 #include <algorithm>
 #include <utility>
 
+#include "jayrill/claim/request_key.h"
 #include "jayrill/entry/job_refusals.h"
 #include "jayrill/entry/main_thread.h"
-#include "jayrill/entry/request_key.h"
 #include "jayrill/job/job_codec.h"
 
 namespace jayrill {
@@ -21,6 +21,18 @@
   return outcome ? "complete" : ToString(outcome.error().effect);
 }
 
+/// \returns the HTTP status of an answer that a claim keeps.
+int StatusOfEnd(const std::string& label) {
+  constexpr int kOk = 200;
+  constexpr int kBadGateway = 502;
+  constexpr int kGatewayTimeout = 504;
+  if (label == "complete") {
+    return kOk;
+  }
+  return label == ToString(job_effect::kRanAndFailed) ? kBadGateway
+                                                      : kGatewayTimeout;
+}
+
 void Answer(const exchange_ptr& exchange,
             const std::string& id,
             const job_outcome& outcome) {
@@ -79,12 +91,8 @@
 
 void job_api::StartClaimed(const exchange_ptr& exchange, job_spec spec) {
   const wall_time now = parts_.time.WallNow();
-  const result<wall_time> key_time = CheckRequestKey(spec.request_key, now);
-  if (!key_time) {
-    const bool expired = key_time.error().kind == error_kind::kLimitExceeded;
-    Refuse(exchange, spec,
-           NotRun(expired ? "key_out_of_window" : "invalid_request",
-                  key_time.error()));
+  if (const auto refusal = CheckKey(spec.request_key, now)) {
+    Refuse(exchange, spec, *refusal);
     return;
   }
   const std::uint64_t content = ContentHash(spec);
@@ -111,14 +119,14 @@
   }
   const job_ptr job = AddJob(exchange, std::move(spec));
   job->content = content;
-  job->key_time = *key_time;
+  job->key_time = ParseRequestKey(job->spec.request_key)->time;
   by_key_.emplace(job->spec.request_key, job);
   parts_.claims.Acquire(
       job->spec.request_key, content,
       [this, id = job->id,
-       alive = std::weak_ptr<void>(alive_)](const result<claim_answer>& claim) {
+       alive = std::weak_ptr<void>(alive_)](const claim_decision& decision) {
         if (!alive.expired()) {
-          OnClaim(id, claim);
+          OnClaim(id, decision);
         }
       });
 }
@@ -139,20 +147,24 @@
       [this, id = job->id, raw = exchange.get()] { OnCallerGone(id, raw); });
 }
 
-void job_api::OnClaim(job_id id, const result<claim_answer>& claim) {
+void job_api::OnClaim(job_id id, const claim_decision& decision) {
   const auto found = jobs_.find(id);
   if (found == jobs_.end()) {
     return;
   }
   const job_ptr job = found->second;
-  if (!claim || claim->claim != claim_answer::state::kGranted) {
-    if (!claim && claim.error().kind == error_kind::kUnknownOutcome) {
-      parts_.claims.Release(job->spec.request_key);
-    }
-    Finish(job, OutcomeOfClaim(claim));
+  if (decision.what == claim_decision::kind::kGranted) {
+    Dispatch(job);
     return;
   }
-  Dispatch(job);
+  const job_outcome outcome = OutcomeOfClaim(decision);
+  if (decision.what == claim_decision::kind::kEnded &&
+      decision.outcome.answer) {
+    const int status = StatusOfEnd(decision.outcome.outcome);
+    Finish(job, outcome, {status, *decision.outcome.answer});
+  } else {
+    Finish(job, outcome);
+  }
 }
 
 void job_api::Dispatch(const job_ptr& job) {
@@ -191,18 +203,23 @@
   const job_ptr job = found->second;
   outcome = CheckResults(std::move(outcome));
   if (!job->spec.idempotent) {
-    const std::string& key = job->spec.request_key;
-    if (!outcome && outcome.error().effect == job_effect::kNotRun) {
-      parts_.claims.Release(key);
-    } else {
-      parts_.claims.End(key, outcome);
-      answers_.Put(key, {id, job->content, outcome, job->key_time + kKeyWindow},
-                   parts_.time.WallNow());
-    }
+    EndClaim(*job, outcome);
   }
   Finish(job, outcome);
 }
 
+void job_api::EndClaim(const active_job& job, const job_outcome& outcome) {
+  const std::string& key = job.spec.request_key;
+  if (!outcome && outcome.error().effect == job_effect::kNotRun) {
+    parts_.claims.Release(key);
+    return;
+  }
+  parts_.claims.End(key, {std::string(LabelOf(outcome)),
+                          EncodeOutcome(ToString(job.id), outcome)});
+  answers_.Put(key, {job.id, job.content, outcome, job.key_time + kClaimWindow},
+               parts_.time.WallNow());
+}
+
 void job_api::OnCallerGone(job_id id, const http_exchange* exchange) {
   const auto found = jobs_.find(id);
   if (found == jobs_.end()) {
@@ -218,14 +235,20 @@
 }
 
 void job_api::Finish(const job_ptr& job, const job_outcome& outcome) {
+  Finish(job, outcome,
+         {HttpStatusOf(outcome), EncodeOutcome(ToString(job->id), outcome)});
+}
+
+void job_api::Finish(const job_ptr& job,
+                     const job_outcome& outcome,
+                     const http_response& response) {
   jobs_.erase(job->id);
   if (!job->spec.idempotent) {
     by_key_.erase(job->spec.request_key);
   }
   Count(job->spec, job->arrived, outcome);
-  const std::string id = ToString(job->id);
-  for (const exchange_ptr& caller : job->callers) {
-    Answer(caller, id, outcome);
+  for (const exchange_ptr& caller : std::exchange(job->callers, {})) {
+    caller->Reply(response);
   }
 }
 
--- /dev/null
+++ b/src/jayrill/entry/operator_auth.cc
@@ -0,0 +1,52 @@
+#include "jayrill/entry/operator_auth.h"
+
+#include <cstddef>
+
+#include "jayrill/job/job_codec.h"
+
+namespace jayrill {
+
+bool EqualInConstantTime(std::string_view given, std::string_view secret) {
+  if (secret.empty()) {
+    return false;
+  }
+  // Volatile keeps the compiler from ending the loop at the first difference.
+  volatile std::size_t difference = given.size() ^ secret.size();
+  for (std::size_t i = 0; i < given.size(); ++i) {
+    const auto byte = static_cast<unsigned char>(given[i]);
+    const auto wanted = static_cast<unsigned char>(secret[i % secret.size()]);
+    difference = difference | static_cast<std::size_t>(byte ^ wanted);
+  }
+  return difference == 0;
+}
+
+result<void> CheckSecret(const http_request& request, std::string_view secret) {
+  constexpr std::string_view kScheme = "Bearer ";
+  if (secret.empty()) {
+    return MakeError(error_kind::kUnauthorized,
+                     "this entry has no operator secret",
+                     "start it with JAYRILL_OPERATOR_SECRET set");
+  }
+  const std::string_view field = request.Header("authorization");
+  if (field.substr(0, kScheme.size()) != kScheme ||
+      !EqualInConstantTime(field.substr(kScheme.size()), secret)) {
+    return MakeError(error_kind::kUnauthorized,
+                     "the operator secret is missing or wrong",
+                     "send Authorization: Bearer <secret>; the command line "
+                     "takes it from JAYRILL_OPERATOR_SECRET");
+  }
+  return {};
+}
+
+result<std::string> OperatorOf(const http_request& request) {
+  const std::string_view name = request.Header("jayrill-operator");
+  if (!IsValidName(name)) {
+    return MakeError(error_kind::kInvalidArgument,
+                     "the change does not name its operator",
+                     "send Jayrill-Operator with 1 to 64 characters of A-Z, "
+                     "a-z, 0-9, _, . or -");
+  }
+  return std::string(name);
+}
+
+}  // namespace jayrill
--- a/src/jayrill/job/job_codec.cc
+++ b/src/jayrill/job/job_codec.cc
@@ -258,17 +258,20 @@
     return 200;
   }
   // Codes that have a status of their own; see docs/api.md.
-  static constexpr std::array<std::pair<std::string_view, int>, 11> kByCode{{
+  static constexpr std::array<std::pair<std::string_view, int>, 14> kByCode{{
       {"invalid_request", 400},
       {"invalid_job", 400},
       {"too_many_tasks", 400},
       {"deadline_too_long", 400},
-      {"key_out_of_window", 400},
+      {"key_malformed", 400},
+      {"key_expired", 400},
+      {"key_in_future", 400},
       {"already_ran", 409},
       {"key_reused", 409},
       {"running_elsewhere", 409},
       {"body_too_large", 413},
       {"queue_full", 429},
+      {"claims_full", 429},
       {"deadline_exceeded", 504},
   }};
   for (const auto& [code, status] : kByCode) {
