--- a/src/jayrill/entry.h
+++ b/src/jayrill/entry.h
@@ -3,11 +3,16 @@
 
 /// \file
 /// Umbrella header of the entry module: admission, placement and outcomes of
-/// jobs, and the service for agents.
+/// jobs, the service for agents, the HTTP interfaces and the entry role.
 
 #include "jayrill/entry/dispatch_port.h"
 #include "jayrill/entry/dispatch_service.h"
 #include "jayrill/entry/dispatch_settings.h"
 #include "jayrill/entry/dispatcher.h"
+#include "jayrill/entry/entry_process.h"
+#include "jayrill/entry/entry_settings.h"
+#include "jayrill/entry/http_server.h"
+#include "jayrill/entry/job_api.h"
+#include "jayrill/entry/operator_api.h"
 
 #endif  // JAYRILL_ENTRY_H_
