--- /dev/null
+++ b/src/jayrill/entry/entry_process.cc
@@ -0,0 +1,310 @@
+#include "jayrill/entry/entry_process.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "jayrill/entry/dispatch_metrics.h"
+#include "jayrill/entry/listen_address.h"
+#include "jayrill/entry/main_thread.h"
+#include "jayrill/membership/team_shares.h"
+#include "jayrill/store/etcd_store.h"
+#include "jayrill/store/memory_store.h"
+
+namespace jayrill {
+namespace {
+
+using method = QHttpServerRequest::Method;
+
+// Bounds the age of the readiness, of the entry record and of the metrics.
+constexpr std::chrono::milliseconds kTickInterval{250};
+
+// The store confirms the configuration about once a second.
+constexpr std::chrono::seconds kUnconfirmedAfter{3};
+
+dispatch_settings DispatchSettings(const entry_settings& settings,
+                                   incarnation self,
+                                   std::uint64_t seed) {
+  dispatch_settings dispatch;
+  dispatch.entry_id = settings.id;
+  dispatch.entry = self;
+  dispatch.data_centre = settings.data_centre;
+  dispatch.listen = settings.rpc_listen;
+  dispatch.strategy = settings.strategy;
+  dispatch.random_seed = seed;
+  return dispatch;
+}
+
+}  // namespace
+
+entry_process::entry_process(entry_settings settings,
+                             const clock& time,
+                             store* backing)
+    : settings_(std::move(settings)),
+      time_(time),
+      random_(random_source::FromSystem()),
+      incarnation_{random_()},
+      store_(backing),
+      dispatch_(DispatchSettings(settings_, incarnation_, random_()), time),
+      last_confirmed_(time.WallNow()) {
+  if (store_ == nullptr && settings_.store_endpoints.empty()) {
+    own_store_ = std::make_unique<memory_store>(timers_, time_);
+  } else if (store_ == nullptr) {
+    own_store_ = std::make_unique<etcd_store>(
+        timers_, etcd_store::options{settings_.store_endpoints});
+  }
+  store_ = own_store_ ? own_store_.get() : store_;
+}
+
+entry_process::~entry_process() {
+  // Callers first, since their exchanges call the APIs; then the dispatcher,
+  // since its thread calls this object.
+  http_.reset();
+  jobs_.reset();
+  dispatch_.Stop();
+}
+
+result<void> entry_process::Start() {
+  dispatch_.OnNewerConfig(
+      [this, alive = guard_.Wrap([this](shared_config next) {
+        config_->Offer(std::move(next));
+      })](shared_config config) {
+        PostToMainThread([alive, config = std::move(config)]() mutable {
+          alive(std::move(config));
+        });
+      });
+  const result<std::uint16_t> rpc_port = dispatch_.Start();
+  if (!rpc_port) {
+    return tl::unexpected(rpc_port.error());
+  }
+  rpc_port_ = *rpc_port;
+  MakeStoreClients();
+  MakeApis();
+  if (const auto listening = Listen(); !listening) {
+    return listening;
+  }
+  JoinMembership();
+  QObject::connect(&tick_, &QTimer::timeout, &tick_, [this] { Tick(); });
+  tick_.start(kTickInterval);
+  Tick();
+  LOG(INFO) << "entry: started id=" << settings_.id
+            << " incarnation=" << ToString(incarnation_)
+            << " http_port=" << http_port_ << " rpc_port=" << rpc_port_;
+  return {};
+}
+
+void entry_process::MakeStoreClients() {
+  config_ = std::make_unique<config_store>(
+      *store_, timers_, time_, random_source(random_()),
+      config_store::listener{
+          [this](const shared_config& config) { OnConfig(config); },
+          [this] { OnConfirmed(); }});
+  ledger_ = std::make_unique<claim_ledger>(
+      *store_, timers_, time_, random_source(random_()), incarnation_);
+  claims_ = std::make_unique<ledger_claims>(*ledger_);
+}
+
+void entry_process::MakeApis() {
+  jobs_ = std::make_unique<job_api>(job_api_parts{
+      dispatch_, *claims_, time_, metrics_,
+      [this] { return has_config_ ? config_->current() : nullptr; },
+      incarnation_});
+  operators_ = std::make_unique<operator_api>(
+      operator_api_parts{*config_, metrics_, settings_.operator_secret,
+                         [this](const std::function<void(entry_status)>& done) {
+                           GetStatus([this, done](dispatch_status status) {
+                             done(Status(std::move(status)));
+                           });
+                         },
+                         [this] { return UnconfirmedSince(); }});
+  http_ = std::make_unique<http_server>(http_limits{}, metrics_);
+  http_->Route("/v1/jobs", method::Post, [this](const exchange_ptr& exchange) {
+    jobs_->Handle(exchange);
+  });
+  operators_->AddRoutes(*http_);
+  AddHealthRoutes();
+}
+
+void entry_process::AddHealthRoutes() {
+  http_->Route("/healthz", method::Get, [](const exchange_ptr& exchange) {
+    exchange->Reply({200, R"({"status":"ok"})"});
+  });
+  http_->Route("/readyz", method::Get, [this](const exchange_ptr& exchange) {
+    const bool ready = IsReady();
+    exchange->Reply({ready ? 200 : 503, ready ? R"({"status":"ready"})"
+                                              : R"({"status":"not_ready"})"});
+  });
+  http_->Route("/metrics", method::Get, [this](const exchange_ptr& exchange) {
+    GetStatus([this, exchange](const dispatch_status& status) {
+      UpdateMetrics(status, metrics_);
+      exchange->Reply(
+          {200, metrics_.Expose(), "text/plain; version=0.0.4; charset=utf-8"});
+    });
+  });
+}
+
+result<void> entry_process::Listen() {
+  const result<listen_address> address =
+      ParseListenAddress(settings_.http_listen);
+  if (!address) {
+    return tl::unexpected(address.error());
+  }
+  const result<std::uint16_t> port = http_->Listen(address->ip, address->port);
+  if (!port) {
+    return tl::unexpected(port.error());
+  }
+  http_port_ = *port;
+  return {};
+}
+
+void entry_process::JoinMembership() {
+  entry_record record;
+  record.id = settings_.id;
+  record.process = incarnation_;
+  record.http_address = settings_.http_advertise.empty()
+                            ? WithPort(settings_.http_listen, http_port_)
+                            : settings_.http_advertise;
+  record.rpc_address = settings_.rpc_advertise.empty()
+                           ? WithPort(settings_.rpc_listen, rpc_port_)
+                           : settings_.rpc_advertise;
+  settings_.http_advertise = record.http_address;
+  settings_.rpc_advertise = record.rpc_address;
+  dispatch_.SetEntryAddresses({record.rpc_address});
+  membership_ = std::make_unique<membership>(
+      *store_, timers_, time_, std::move(record),
+      [this](const std::vector<entry_record>& entries) { OnEntries(entries); });
+}
+
+void entry_process::Tick() {
+  GetStatus([this](dispatch_status status) { OnStatus(std::move(status)); });
+  if (stopping_) {
+    CheckDrained();
+  }
+}
+
+void entry_process::GetStatus(std::function<void(dispatch_status)> done) {
+  dispatch_.GetStatus(
+      [done = guard_.Wrap(std::move(done))](dispatch_status status) {
+        PostToMainThread([done, status = std::move(status)]() mutable {
+          done(std::move(status));
+        });
+      });
+}
+
+void entry_process::OnStatus(dispatch_status status) {
+  status_ = std::move(status);
+  entry_record record;
+  record.id = settings_.id;
+  record.process = incarnation_;
+  record.http_address = settings_.http_advertise;
+  record.rpc_address = settings_.rpc_advertise;
+  membership_->Update(MakeEntryRecord(status_, std::move(record)));
+}
+
+void entry_process::OnConfig(const shared_config& config) {
+  has_config_ = true;
+  dispatch_.OfferConfig(config);
+  UpdateShares();
+}
+
+void entry_process::OnConfirmed() {
+  if (!std::exchange(has_config_, true)) {
+    // The store holds no configuration yet: the empty one is in force.
+    dispatch_.OfferConfig(config_->current());
+  }
+  confirmed_ = time_.Now();
+  last_confirmed_ = time_.WallNow();
+  dispatch_.ConfirmConfig();
+}
+
+void entry_process::OnEntries(const std::vector<entry_record>& entries) {
+  std::set<std::string> addresses{settings_.rpc_advertise};
+  for (const entry_record& entry : entries) {
+    addresses.insert(entry.rpc_address);
+  }
+  dispatch_.SetEntryAddresses({addresses.begin(), addresses.end()});
+  UpdateShares();
+}
+
+void entry_process::UpdateShares() {
+  if (!membership_) {
+    return;
+  }
+  std::set<std::string> teams;
+  for (const auto& [name, quota] : config_->current()->teams) {
+    teams.insert(name);
+  }
+  dispatch_.SetTeamShares(
+      TeamShares(membership_->Entries(), settings_.id, teams));
+}
+
+std::optional<wall_time> entry_process::UnconfirmedSince() const {
+  if (confirmed_ && time_.Now() - *confirmed_ <= kUnconfirmedAfter) {
+    return std::nullopt;
+  }
+  return last_confirmed_;
+}
+
+entry_status entry_process::Status(dispatch_status dispatch) const {
+  entry_status status;
+  status.id = settings_.id;
+  status.data_centre = settings_.data_centre;
+  status.config = has_config_ ? config_->current() : nullptr;
+  status.ready = IsReady();
+  status.unconfirmed_since = UnconfirmedSince();
+  status.store_reachable = !status.unconfirmed_since;
+  status.dispatch = std::move(dispatch);
+  status.entries = membership_->Entries();
+  return status;
+}
+
+bool entry_process::IsReady() const {
+  return has_config_ && status_.ready && !stopping_;
+}
+
+void entry_process::Stop() {
+  if (std::exchange(stopping_, true)) {
+    return;
+  }
+  LOG(INFO) << "entry: stopping jobs=" << jobs_->pending_jobs();
+  jobs_->BeginDrain();
+  http_->CloseAfterReplies();
+  dispatch_.Drain([done = guard_.Wrap([this] { OnDrained(); })] {
+    PostToMainThread(done);
+  });
+}
+
+void entry_process::OnDrained() {
+  drained_ = true;
+  CheckDrained();
+}
+
+void entry_process::CheckDrained() {
+  // Jobs whose claim is being written end shortly after the dispatcher.
+  if (!drained_ || storing_ || jobs_->pending_jobs() > 0) {
+    return;
+  }
+  storing_ = true;
+  ledger_->Stop(settings_.claim_stop_limit,
+                guard_.Wrap([this] { OnClaimsStored(); }));
+}
+
+void entry_process::OnClaimsStored() {
+  membership_->Leave(guard_.Wrap([this] { OnLeft(); }));
+}
+
+void entry_process::OnLeft() {
+  http_->Stop(guard_.Wrap([this] {
+    // Queued, because a socket or a call of the store may be on the stack.
+    PostToMainThread(guard_.Wrap([this] {
+      LOG(INFO) << "entry: stopped id=" << settings_.id;
+      if (stopped_) {
+        stopped_();
+      }
+    }));
+  }));
+}
+
+}  // namespace jayrill
--- a/src/jayrill/entry/http_server.h
+++ b/src/jayrill/entry/http_server.h
@@ -32,6 +32,9 @@
   /// \returns the port; an error when \p address cannot be listened on.
   result<std::uint16_t> Listen(const std::string& address, std::uint16_t port);
 
+  /// Closes each connection after its next reply.
+  void CloseAfterReplies() { guard_->CloseAfterReplies(); }
+
   /// Finishes every request that has begun, then calls \p stopped.
   void Stop(std::function<void()> stopped);
 
--- a/src/jayrill/entry/job_api.h
+++ b/src/jayrill/entry/job_api.h
@@ -52,7 +52,7 @@
     job_spec spec;
     std::uint64_t content = 0;
     steady_time arrived;
-    wall_time key_time;
+    wall_time key_time;  ///< Of a request key.
     /// The submitter and the resubmissions that joined.
     std::vector<exchange_ptr> callers;
   };
@@ -62,11 +62,15 @@
   void StartClaimed(const exchange_ptr& exchange, job_spec spec);
   job_ptr AddJob(const exchange_ptr& exchange, job_spec spec);
   void Join(const job_ptr& job, const exchange_ptr& exchange);
-  void OnClaim(job_id id, const result<claim_answer>& claim);
+  void OnClaim(job_id id, const claim_decision& decision);
+  void EndClaim(const active_job& job, const job_outcome& outcome);
   void Dispatch(const job_ptr& job);
   void OnOutcome(job_id id, job_outcome outcome);
   void OnCallerGone(job_id id, const http_exchange* exchange);
   void Finish(const job_ptr& job, const job_outcome& outcome);
+  void Finish(const job_ptr& job,
+              const job_outcome& outcome,
+              const http_response& response);
   void Count(const job_spec& spec,
              steady_time arrived,
              const job_outcome& outcome);
--- a/src/jayrill/entry/job_refusals.cc
+++ b/src/jayrill/entry/job_refusals.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "jayrill/base/hash.h"
+#include "jayrill/claim/request_key.h"
 #include "jayrill/job/job_codec.h"
 
 namespace jayrill {
@@ -46,39 +48,60 @@
                 "give each job a key of its own");
 }
 
-job_outcome OutcomeOfClaim(const result<claim_answer>& claim) {
-  if (!claim) {
-    const error& failure = claim.error();
-    if (failure.kind == error_kind::kUnknownOutcome) {
-      // The claim may be held by this entry, but the job was not dispatched
-      // and will not be, so it has not run.
-      return NotRun("claim_unknown", failure);
-    }
-    return NotRun("store_unavailable", failure.message,
-                  "submit again with the same key; idempotent jobs are not "
-                  "affected");
-  }
-  switch (claim->claim) {
-    case claim_answer::state::kKeyReused:
-      return KeyReused();
-    case claim_answer::state::kEnded:
-      if (claim->outcome) {
-        return *claim->outcome;
-      }
+job_outcome OutcomeOfClaim(const claim_decision& decision) {
+  switch (decision.what) {
+    case claim_decision::kind::kRefused:
+      return NotRun(decision.code, decision.message, decision.remedy);
+    case claim_decision::kind::kEnded:
       return MakeJobFailure(job_effect::kRan, "already_ran",
-                            "the job ended earlier as '" + claim->ended_as +
+                            "the job ended earlier as '" +
+                                decision.outcome.outcome +
                                 "' and its answer is no longer kept",
                             "do not submit it again; look up its effect in "
                             "the service");
-    case claim_answer::state::kGranted:
-    case claim_answer::state::kRunningHere:
-    case claim_answer::state::kRunningElsewhere:
+    case claim_decision::kind::kGranted:
+    case claim_decision::kind::kRunningHere:
+    case claim_decision::kind::kRunningElsewhere:
       break;
   }
   return MakeJobFailure(job_effect::kMayHaveRun, "running_elsewhere",
-                        "the job was taken by an entry and its end is not "
-                        "known here",
+                        "an entry has taken the job and its end is not known "
+                        "here",
                         "ask again with the same key");
 }
 
+std::optional<job_outcome> CheckKey(std::string_view text, wall_time now) {
+  const result<request_key> key = ParseRequestKey(text);
+  if (!key) {
+    return NotRun("key_malformed", key.error());
+  }
+  const std::string ahead = std::to_string((key->time - now).count()) + " ms";
+  switch (AgeOf(key->time, now)) {
+    case key_age::kExpired:
+      return NotRun("key_expired",
+                    "the time of the request key is " + ahead +
+                        " from now; 10 min in the past are allowed",
+                    "check whether the job took effect before submitting it "
+                    "with a new key");
+    case key_age::kInFuture:
+      return NotRun("key_in_future",
+                    "the time of the request key is " + ahead +
+                        " from now; 1 min is allowed",
+                    "correct the clock of the client");
+    case key_age::kValid:
+      break;
+  }
+  return std::nullopt;
+}
+
+std::uint64_t ContentHash(const job_spec& spec) {
+  std::uint64_t hash = StableHash(spec.service);
+  hash = StableHash(spec.team, hash);
+  for (const task_spec& task : spec.tasks) {
+    hash = StableHash(task.kind, hash);
+    hash = StableHash(task.payload, hash);
+  }
+  return hash;
+}
+
 }  // namespace jayrill
--- a/src/jayrill/metrics/counter.h
+++ b/src/jayrill/metrics/counter.h
@@ -13,6 +13,15 @@
     value_.fetch_add(count, std::memory_order_relaxed);
   }
 
+  /// Raises the value to \p total, which another part has counted. A lower
+  /// total changes nothing.
+  void RaiseTo(std::uint64_t total) {
+    std::uint64_t seen = value();
+    while (seen < total && !value_.compare_exchange_weak(
+                               seen, total, std::memory_order_relaxed)) {
+    }
+  }
+
   std::uint64_t value() const { return value_.load(std::memory_order_relaxed); }
 
  private:
