Wire the agent and sample backend roles

Change: both run on a Qt event loop that turns the first SIGTERM or SIGINT into the graceful stop; lint findings in the client code are fixed.

--- /dev/null
+++ b/src/jayrill/cli/agent_role.cc
@@ -0,0 +1,24 @@
+#include <glog/logging.h>
+
+#include "jayrill/agent/agent_process.h"
+#include "jayrill/base/clock.h"
+#include "jayrill/cli/command.h"
+#include "jayrill/cli/role_application.h"
+#include "jayrill/cli/role_settings.h"
+
+namespace jayrill {
+
+int RunAgent(const command_input& /*input*/) {
+  role_application application;
+  const system_clock time;
+  agent_process agent(AgentSettingsFromFlags(), time);
+  agent.OnStopped([&application] { application.Finish(kExitOk); });
+  if (const result<void> started = agent.Start(); !started) {
+    return FailToStart("agent", started.error());
+  }
+  LOG(INFO) << "agent: listening for announcements on port "
+            << agent.http_port();
+  return application.Run([&agent] { agent.Stop(); });
+}
+
+}  // namespace jayrill
--- a/src/jayrill/cli/force_report.cc
+++ b/src/jayrill/cli/force_report.cc
@@ -27,7 +27,7 @@
             QLatin1String key,
             const char* role,
             force_report& report) {
-  for (const QJsonValue& value : status.value(key).toArray()) {
+  for (const QJsonValue value : status.value(key).toArray()) {
     const QJsonObject item = value.toObject();
     const std::string id =
         item.value(QLatin1String("id")).toString().toStdString();
--- a/src/jayrill/cli/main.cc
+++ b/src/jayrill/cli/main.cc
@@ -1,5 +1,6 @@
 #include <glog/logging.h>
 
+#include <csignal>
 #include <iostream>
 #include <string>
 #include <vector>
@@ -88,6 +89,8 @@
 
 int Main(int argc, char** argv) {
   StartLogging(argv[0]);
+  // A peer that goes away is an error of the write, not the end of the process.
+  std::signal(SIGPIPE, SIG_IGN);
   const std::vector<std::string> arguments(argv + 1, argv + argc);
   const std::string name = arguments.empty() ? "" : arguments.front();
   if (name == "--help" || name == "-h" || name == "help") {
--- a/src/jayrill/cli/operator_client.cc
+++ b/src/jayrill/cli/operator_client.cc
@@ -86,7 +86,7 @@
     const std::string& reason,
     std::optional<std::int64_t> base_revision) const {
   if (!base_revision) {
-    const result<std::int64_t> current = CurrentRevision();
+    result<std::int64_t> current = CurrentRevision();
     if (!current) {
       return current;
     }
--- a/src/jayrill/cli/operator_session.cc
+++ b/src/jayrill/cli/operator_session.cc
@@ -85,8 +85,7 @@
   const auto limit = std::chrono::steady_clock::now() +
                      milliseconds(absl::GetFlag(FLAGS_wait_ms));
   while (true) {
-    const QJsonObject status =
-        client_.Get("/v1/status").value_or(QJsonObject());
+    QJsonObject status = client_.Get("/v1/status").value_or(QJsonObject());
     // Silent processes are reported, not waited for.
     if (ReadForce(status, revision).behind.empty() ||
         std::chrono::steady_clock::now() >= limit) {
@@ -117,7 +116,7 @@
 std::string CellText(const QJsonValue& value) {
   if (value.isArray()) {
     std::string text;
-    for (const QJsonValue& item : value.toArray()) {
+    for (const QJsonValue item : value.toArray()) {
       text += (text.empty() ? "" : ",") + CellText(item);
     }
     return text;
--- /dev/null
+++ b/src/jayrill/cli/role_settings.cc
@@ -0,0 +1,35 @@
+#include "jayrill/cli/role_settings.h"
+
+#include <absl/flags/flag.h>
+
+#include "jayrill/cli/flags.h"
+
+namespace jayrill {
+
+agent_settings AgentSettingsFromFlags() {
+  agent_settings settings;
+  settings.id = absl::GetFlag(FLAGS_id);
+  settings.data_centre = absl::GetFlag(FLAGS_data_centre);
+  settings.worker = absl::GetFlag(FLAGS_worker);
+  settings.rack = absl::GetFlag(FLAGS_rack);
+  settings.http_address = absl::GetFlag(FLAGS_announce_listen);
+  settings.entries = absl::GetFlag(FLAGS_entries);
+  settings.queue_limit =
+      static_cast<std::uint32_t>(absl::GetFlag(FLAGS_queue_limit));
+  return settings;
+}
+
+sample_settings SampleSettingsFromFlags() {
+  sample_settings settings;
+  settings.service = absl::GetFlag(FLAGS_service);
+  settings.http_address = absl::GetFlag(FLAGS_listen);
+  settings.agent_address = absl::GetFlag(FLAGS_agent);
+  settings.slots = static_cast<std::uint32_t>(absl::GetFlag(FLAGS_slots));
+  settings.slowness = absl::GetFlag(FLAGS_slowness);
+  settings.fault = ParseSampleFault(absl::GetFlag(FLAGS_faults))
+                       .value_or(sample_fault::kNone);
+  settings.record = absl::GetFlag(FLAGS_record);
+  return settings;
+}
+
+}  // namespace jayrill
--- a/src/jayrill/cli/roles.cc
+++ b/src/jayrill/cli/roles.cc
@@ -15,12 +15,6 @@
 int RunEntry(const command_input& /*input*/) {
   return NotAvailable();
 }
-int RunAgent(const command_input& /*input*/) {
-  return NotAvailable();
-}
-int RunSampleBackend(const command_input& /*input*/) {
-  return NotAvailable();
-}
 int RunStandalone(const command_input& /*input*/) {
   return NotAvailable();
 }
--- a/src/jayrill/cli/settings.cc
+++ b/src/jayrill/cli/settings.cc
@@ -94,7 +94,8 @@
   }
 
   void CheckEnvironment() {
-    for (const auto& [name, value] : environment_) {
+    for (const auto& variable : environment_) {
+      const std::string& name = variable.first;
       const bool known = std::any_of(
           AllSettings().begin(), AllSettings().end(),
           [&](const setting& s) { return EnvironmentName(s.name) == name; });
--- a/src/jayrill/cli/status_commands.cc
+++ b/src/jayrill/cli/status_commands.cc
@@ -26,8 +26,9 @@
     return;
   }
   text_table table(fields);
-  for (const QJsonValue& item : items) {
+  for (const QJsonValue item : items) {
     std::vector<std::string> row;
+    row.reserve(fields.size());
     for (const std::string& field : fields) {
       row.push_back(
           CellText(item.toObject().value(QString::fromStdString(field))));
@@ -65,7 +66,7 @@
 void PrintAudit(const QJsonArray& records) {
   text_table table(
       {"REVISION", "WHEN", "OPERATOR", "ITEM", "REASON", "BEFORE", "AFTER"});
-  for (const QJsonValue& value : records) {
+  for (const QJsonValue value : records) {
     const QJsonObject record = value.toObject();
     const QJsonValue when = record.value(QLatin1String("when_ms"));
     const QString time =
--- a/src/jayrill/load/ideal.cc
+++ b/src/jayrill/load/ideal.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 #include <functional>
 #include <queue>
 #include <string>
@@ -69,7 +70,7 @@
     last = std::max(last,
                     RunOnBestSlot(static_cast<double>(work.count()), members));
   }
-  return microseconds(static_cast<std::int64_t>(last + 0.5));
+  return microseconds(std::llround(last));
 }
 
 result<std::vector<fleet_member>> ParseFleet(std::string_view text) {
--- a/src/jayrill/load/ratio_histogram.cc
+++ b/src/jayrill/load/ratio_histogram.cc
@@ -30,7 +30,8 @@
   if (count_ == 0) {
     return 0;
   }
-  const double rank = std::max(1.0, std::ceil(share * count_));
+  const double rank =
+      std::max(1.0, std::ceil(share * static_cast<double>(count_)));
   double seen = 0;
   for (int bin = 0; bin < static_cast<int>(kBins); ++bin) {
     seen += bins_.at(bin);
--- a/src/jayrill/load/trace.cc
+++ b/src/jayrill/load/trace.cc
@@ -115,7 +115,7 @@
                  .toStdString();
   job.idempotent = object.value(QLatin1String("idempotent")).toBool(true);
   job.deadline = std::chrono::duration_cast<milliseconds>(*deadline);
-  for (const QJsonValue& value : tasks) {
+  for (const QJsonValue value : tasks) {
     std::optional<planned_task> task = ReadTask(value.toObject());
     if (!task) {
       return BadTrace(
