--- a/src/jayrill/cli/client_flags.cc
+++ b/src/jayrill/cli/client_flags.cc
@@ -23,6 +23,10 @@
           11000,
           "Longest wait until a change is in force everywhere");
 ABSL_FLAG(bool, json, false, "Print JSON instead of a table");
+ABSL_FLAG(bool,
+          force,
+          false,
+          "Take the data centre out although no other is in service");
 ABSL_FLAG(std::int64_t,
           urgency,
           50,
--- a/src/jayrill/cli/config_commands.cc
+++ b/src/jayrill/cli/config_commands.cc
@@ -192,13 +192,21 @@
   if (verb == "list" && input.positional.size() == 1) {
     return List(session, kDataCentreKind, "");
   }
-  if ((verb != "out" && verb != "in") || input.positional.size() != 2 ||
+  const bool is_known = verb == "out" || verb == "in" || verb == "declare";
+  if (!is_known || input.positional.size() != 2 ||
       !IsSettingName(input.positional[1])) {
     return operator_session::FailUsage(
-        "usage: jayrill data-centre list, or out|in NAME");
+        "usage: jayrill data-centre list, or out|in|declare NAME");
   }
-  return session.Change(
-      "POST", kDataCentreKind.path + input.positional[1] + "/" + verb, {});
+  const std::string path = kDataCentreKind.path + input.positional[1];
+  if (verb == "declare") {
+    return session.Change("PUT", path, {});
+  }
+  QJsonObject body;
+  if (verb == "out" && absl::GetFlag(FLAGS_force)) {
+    body.insert(QStringLiteral("force"), true);
+  }
+  return session.Change("POST", path + "/" + verb, body);
 }
 
 }  // namespace jayrill
--- a/src/jayrill/cli/flags.h
+++ b/src/jayrill/cli/flags.h
@@ -43,6 +43,7 @@
 ABSL_DECLARE_FLAG(std::int64_t, timeout_ms);
 ABSL_DECLARE_FLAG(std::int64_t, wait_ms);
 ABSL_DECLARE_FLAG(bool, json);
+ABSL_DECLARE_FLAG(bool, force);
 ABSL_DECLARE_FLAG(std::int64_t, urgency);
 ABSL_DECLARE_FLAG(std::int64_t, max_tasks);
 ABSL_DECLARE_FLAG(std::int64_t, max_running);
--- a/src/jayrill/cli/role_settings.cc
+++ b/src/jayrill/cli/role_settings.cc
@@ -6,6 +6,20 @@
 
 namespace jayrill {
 
+entry_settings EntrySettingsFromFlags() {
+  entry_settings settings;
+  settings.id = absl::GetFlag(FLAGS_id);
+  settings.data_centre = absl::GetFlag(FLAGS_data_centre);
+  settings.http_listen = absl::GetFlag(FLAGS_http_listen);
+  settings.rpc_listen = absl::GetFlag(FLAGS_rpc_listen);
+  settings.http_advertise = absl::GetFlag(FLAGS_http_advertise);
+  settings.rpc_advertise = absl::GetFlag(FLAGS_rpc_advertise);
+  settings.store_endpoints = absl::GetFlag(FLAGS_store_endpoints);
+  settings.strategy = absl::GetFlag(FLAGS_placement_strategy);
+  settings.operator_secret = absl::GetFlag(FLAGS_operator_secret);
+  return settings;
+}
+
 agent_settings AgentSettingsFromFlags() {
   agent_settings settings;
   settings.id = absl::GetFlag(FLAGS_id);
--- a/src/jayrill/cli/settings_table.cc
+++ b/src/jayrill/cli/settings_table.cc
@@ -37,6 +37,7 @@
     {"faults", kChoice, kMinion, 0, "", 0, 0,
      "none,fail,not_json,not_http,never,endless,huge,drop,reset,truncate"},
     {"fleet", kText, kLoad, kLoad},
+    {"force", kSwitch, kDataCentre},
     {"http_advertise", kAddress, kEntry},
     {"http_listen", kListenAddress, kEntry | kStandalone},
     {"id", kName, kProcesses, kProcesses},
