--- /dev/null
+++ b/src/jayrill/entry/entry_settings.h
@@ -0,0 +1,33 @@
+#ifndef JAYRILL_ENTRY_ENTRY_SETTINGS_H_
+#define JAYRILL_ENTRY_ENTRY_SETTINGS_H_
+
+#include <chrono>
+#include <compare>
+#include <string>
+#include <vector>
+
+namespace jayrill {
+
+/// Settings of one entry. Addresses are IP:port; port 0 lets the system choose.
+struct entry_settings {
+  std::string id;
+  std::string data_centre;
+  std::string http_listen = "127.0.0.1:0";
+  std::string rpc_listen = "127.0.0.1:0";
+  /// Addresses that others are told; empty: the address listened on.
+  std::string http_advertise;
+  std::string rpc_advertise;
+  /// Endpoints of the platform's key-value service. Empty: a store in the
+  /// memory of this process, for standalone use.
+  std::vector<std::string> store_endpoints;
+  std::string strategy = "jayrill";
+  std::string operator_secret;  ///< Empty: operator requests are refused.
+  /// How long a graceful stop waits for the ends of claims to be stored.
+  std::chrono::milliseconds claim_stop_limit{3000};
+
+  auto operator<=>(const entry_settings&) const = default;
+};
+
+}  // namespace jayrill
+
+#endif  // JAYRILL_ENTRY_ENTRY_SETTINGS_H_
--- a/src/jayrill/entry/guarded_socket.cc
+++ b/src/jayrill/entry/guarded_socket.cc
@@ -66,8 +66,12 @@
 }
 
 void guarded_socket::Stop() {
+  // A request that waits in the kernel is still answered.
+  char first = 0;
+  const bool waiting = ::recv(static_cast<int>(inner_.socketDescriptor()),
+                              &first, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
   if (state_ == state::kReading && buffer_.isEmpty() &&
-      inner_.bytesAvailable() == 0) {
+      inner_.bytesAvailable() == 0 && !waiting) {
     inner_.disconnectFromHost();
   }
 }
--- a/src/jayrill/entry/http_guard.h
+++ b/src/jayrill/entry/http_guard.h
@@ -18,6 +18,10 @@
   http_guard(http_limits limits, metric_registry& metrics);
   ~http_guard() override;
 
+  /// Closes each connection after its next reply, so that callers and the load
+  /// balancer move on while the entry drains.
+  void CloseAfterReplies() { shared_.stopping = true; }
+
   /// Accepts no further connection, closes idle ones and calls \p stopped when
   /// the last one is closed. Requests that have begun are answered.
   void Stop(std::function<void()> stopped);
--- /dev/null
+++ b/src/jayrill/entry/ledger_claims.cc
@@ -0,0 +1,37 @@
+#include "jayrill/entry/ledger_claims.h"
+
+#include <glog/logging.h>
+
+#include <utility>
+
+namespace jayrill {
+namespace {
+
+// The ledger retries by itself. A claim whose end was not written stays
+// running, so resubmissions elsewhere get may_have_run.
+claim_ledger::finished_function LogFailure(const std::string& key) {
+  return [key](const result<void>& finished) {
+    if (!finished) {
+      LOG(WARNING) << "claim: the end of " << key
+                   << " is not stored: " << ToString(finished.error());
+    }
+  };
+}
+
+}  // namespace
+
+void ledger_claims::Acquire(const std::string& key,
+                            std::uint64_t content,
+                            decision_function decided) {
+  ledger_.Acquire(key, content, std::move(decided));
+}
+
+void ledger_claims::End(const std::string& key, ended_outcome outcome) {
+  ledger_.End(key, std::move(outcome), LogFailure(key));
+}
+
+void ledger_claims::Release(const std::string& key) {
+  ledger_.Release(key, LogFailure(key));
+}
+
+}  // namespace jayrill
