Install the benchmark library with the other packages

Cause: bench/ needs Google Benchmark, and a fresh machine does not have it.

Change: libbenchmark-dev joins the list of packages.

--- a/tools/install_packages.sh
+++ b/tools/install_packages.sh
@@ -6,7 +6,7 @@
   qt6-base-dev qt6-httpserver-dev qt6-websockets-dev
   capnproto libcapnp-dev libboost-dev libabsl-dev libgoogle-glog-dev
   libexpected-dev librapidcheck-dev liburcu-dev libxxhash-dev
-  libgtest-dev libgmock-dev liblua5.4-dev
+  libgtest-dev libgmock-dev libbenchmark-dev liblua5.4-dev
 )
 missing=()
 for package in "${packages[@]}"; do
