Keep addresses out of the names of parameterised tests

Cause: GoogleTest printed the bytes of a case in the ctest name, with addresses that change from run to run, so a report could not be compared with another.

Change: the cases of refusal_test and leaving_test print their names.

Conclusion: names are the same in every run.

--- a/tests/entry/leaving_test.cc
+++ b/tests/entry/leaving_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <ostream>
+
 #include "fake_cluster.h"
 #include "jayrill/entry/heartbeat.h"
 
@@ -15,6 +17,11 @@
   std::function<void(fake_cluster&, fake_agent&)> leave;
 };
 
+/// Keeps addresses out of the names of the tests.
+void PrintTo(const leaving_case& param, std::ostream* out) {
+  *out << param.name;
+}
+
 class leaving_test : public testing::TestWithParam<leaving_case> {
  protected:
   leaving_test() {
--- a/tests/entry/refusal_test.cc
+++ b/tests/entry/refusal_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <ostream>
+
 #include "fake_cluster.h"
 #include "jayrill/entry/admission.h"
 
@@ -42,6 +44,11 @@
   milliseconds decided_after{0};
 };
 
+/// Keeps addresses out of the names of the tests.
+void PrintTo(const refusal_case& param, std::ostream* out) {
+  *out << param.code;
+}
+
 /// A cluster with one agent that has settled, and a good configuration.
 void MakeReady(fake_cluster& cluster,
                const cluster_config& config = TwoCentres()) {
