--- a/src/jayrill/entry/guarded_socket.cc
+++ b/src/jayrill/entry/guarded_socket.cc
@@ -41,6 +41,7 @@
   }
   // The base class would otherwise close a connection that it does not have.
   setSocketState(QAbstractSocket::UnconnectedState);
+  shared_.on_closed(*this);
 }
 
 void guarded_socket::BeginExchange(exchange_ptr exchange) {
@@ -77,7 +78,7 @@
 }
 
 qint64 guarded_socket::bytesAvailable() const {
-  return QIODevice::bytesAvailable() + delivered_.size();
+  return QIODevice::bytesAvailable() + delivered_.size() - delivered_size_;
 }
 
 qint64 guarded_socket::bytesToWrite() const {
@@ -89,10 +90,12 @@
 }
 
 qint64 guarded_socket::readData(char* data, qint64 max_size) {
-  const qint64 size = std::min<qint64>(max_size, delivered_.size());
+  const qint64 size =
+      std::min<qint64>(max_size, delivered_.size() - delivered_size_);
   if (size > 0) {
-    std::memcpy(data, delivered_.constData(), static_cast<std::size_t>(size));
-    delivered_.remove(0, size);
+    std::memcpy(data, delivered_.constData() + delivered_size_,
+                static_cast<std::size_t>(size));
+    delivered_size_ += size;
   }
   return size;
 }
@@ -111,15 +114,16 @@
 }
 
 void guarded_socket::ReadRequests() {
-  SetBuffer(buffer_ + inner_.readAll());
+  const QByteArray arrived = inner_.readAll();
+  shared_.buffered += static_cast<std::size_t>(arrived.size());
+  buffer_.append(arrived);
   while (buffer_.startsWith("\r\n")) {
     SetBuffer(buffer_.mid(2));  // Some callers end a body with an empty line.
   }
   if (buffer_.isEmpty()) {
     return;
   }
-  if (timer_.intervalAsDuration() != shared_.limits.request_time ||
-      !timer_.isActive()) {
+  if (!std::exchange(receiving_, true)) {
     timer_.start(shared_.limits.request_time);
   }
   const auto size = static_cast<std::size_t>(buffer_.size());
@@ -137,7 +141,9 @@
 }
 
 void guarded_socket::Deliver(std::size_t size) {
+  receiving_ = false;
   delivered_ = buffer_.left(static_cast<qsizetype>(size));
+  delivered_size_ = 0;
   SetBuffer(buffer_.mid(static_cast<qsizetype>(size)));
   close_after_reply_ = !framer_.keep_alive();
   framer_.Reset();
@@ -146,6 +152,7 @@
   timer_.stop();
   Q_EMIT readyRead();
   delivered_.clear();
+  delivered_size_ = 0;
   if (state_ == state::kHandling && !exchange_) {
     Refuse({400, "invalid_request", "the request cannot be read",
             "correct the request line and the header fields"});
@@ -184,9 +191,7 @@
 }
 
 void guarded_socket::Refuse(const http_refusal& refusal) {
-  if (shared_.on_refusal) {
-    shared_.on_refusal(refusal.code);
-  }
+  shared_.on_refusal(refusal.code);
   inner_.write(QByteArray::fromStdString(EncodeRefusal(refusal)));
   Linger();
 }
--- a/src/jayrill/entry/guarded_socket.h
+++ b/src/jayrill/entry/guarded_socket.h
@@ -35,6 +35,9 @@
     std::size_t buffered = 0;  ///< Bytes of requests that are incomplete.
     bool stopping = false;
     std::function<void(const std::string&)> on_refusal;  ///< Gets the code.
+    /// Called at the end of each socket. The signal destroyed() would not do,
+    /// since QHttpServer may disconnect every receiver of a socket.
+    std::function<void(guarded_socket&)> on_closed;
   };
 
   /// Takes over the connection \p descriptor.
@@ -84,8 +87,10 @@
   shared_state& shared_;
   http_framer framer_;
   QTimer timer_;
-  QByteArray buffer_;     ///< Bytes that were read and not handed on.
-  QByteArray delivered_;  ///< The request that QHttpServer reads.
+  QByteArray buffer_;          ///< Bytes that were read and not handed on.
+  QByteArray delivered_;       ///< The request that QHttpServer reads.
+  qint64 delivered_size_ = 0;  ///< What it has read of it.
+  bool receiving_ = false;     ///< A request has begun and is not complete.
   exchange_ptr exchange_;
   state state_ = state::kReading;
   bool close_after_reply_ = false;
--- a/src/jayrill/entry/http_framer.cc
+++ b/src/jayrill/entry/http_framer.cc
@@ -112,7 +112,8 @@
     return BadRequest("the request line is not HTTP/1.1",
                       "send HTTP/1.1 without TLS to this port");
   }
-  if (line[first + 1] != '/') {
+  // QHttpServer takes CONNECT for an upgrade of the protocol.
+  if (line[first + 1] != '/' || line.substr(0, first) == "CONNECT") {
     return BadRequest("the request target is not a path",
                       "send a target that begins with /");
   }
--- a/src/jayrill/entry/http_guard.cc
+++ b/src/jayrill/entry/http_guard.cc
@@ -14,6 +14,7 @@
       connections_gauge_(
           metrics.Gauge("jayrill_http_connections", "Open HTTP connections.")) {
   shared_.limits = limits;
+  shared_.on_closed = [this](guarded_socket& socket) { OnClosed(socket); };
   shared_.on_refusal = [this](const std::string& code) {
     metrics_
         .Counter("jayrill_http_refusals_total",
@@ -24,8 +25,8 @@
 }
 
 http_guard::~http_guard() {
-  for (QObject* socket : std::exchange(sockets_, {})) {
-    socket->disconnect(this);
+  stopped_ = nullptr;
+  for (const guarded_socket* socket : std::exchange(sockets_, {})) {
     delete socket;
   }
 }
@@ -38,8 +39,6 @@
   auto* socket = new guarded_socket(descriptor, shared_);
   sockets_.insert(socket);
   connections_gauge_.Set(static_cast<std::int64_t>(sockets_.size()));
-  connect(socket, &QObject::destroyed, this,
-          [this](QObject* closed) { OnClosed(closed); });
   addPendingConnection(socket);
 }
 
@@ -56,8 +55,8 @@
   shared_.on_refusal("too_many_connections");
 }
 
-void http_guard::OnClosed(QObject* socket) {
-  sockets_.erase(socket);
+void http_guard::OnClosed(guarded_socket& socket) {
+  sockets_.erase(&socket);
   connections_gauge_.Set(static_cast<std::int64_t>(sockets_.size()));
   if (sockets_.empty() && stopped_) {
     std::exchange(stopped_, nullptr)();
@@ -72,9 +71,9 @@
     return;
   }
   stopped_ = std::move(stopped);
-  const std::vector<QObject*> sockets(sockets_.begin(), sockets_.end());
-  for (QObject* socket : sockets) {
-    static_cast<guarded_socket*>(socket)->Stop();
+  const std::vector<guarded_socket*> sockets(sockets_.begin(), sockets_.end());
+  for (guarded_socket* socket : sockets) {
+    socket->Stop();
   }
 }
 
--- a/src/jayrill/entry/http_guard.h
+++ b/src/jayrill/entry/http_guard.h
@@ -33,12 +33,12 @@
 
  private:
   void RefuseConnection(qintptr descriptor);
-  void OnClosed(QObject* socket);
+  void OnClosed(guarded_socket& socket);
 
   guarded_socket::shared_state shared_;
   metric_registry& metrics_;
   gauge& connections_gauge_;
-  std::set<QObject*> sockets_;
+  std::set<guarded_socket*> sockets_;
   std::function<void()> stopped_;
 };
 
--- a/tests/unit/http/http_guard_test.cc
+++ b/tests/unit/http/http_guard_test.cc
@@ -57,6 +57,7 @@
         bad_request{"tls", std::string("\x16\x03\x01\x02\x00\r\n", 7), "400"},
         bad_request{"no_version", "GET /echo\r\n\r\n", "400"},
         bad_request{"http_2", "PRI * HTTP/2.0\r\n\r\n", "400"},
+        bad_request{"connect", "CONNECT /echo HTTP/1.1\r\n\r\n", "400"},
         bad_request{"absolute", "GET http://x/ HTTP/1.1\r\n\r\n", "400"},
         bad_request{"bad_url", "GET /%zz%00 HTTP/1.1\r\nHost: [\r\n: x\r\n\r\n",
                     "400"},
