Add the policy measurement with real processes

Cause: placement strategies have to be compared on the same arrivals. Ruled out: a simulation of the fleet; the processes themselves are cheap enough.

--- /dev/null
+++ b/bench/policy.lua
@@ -0,0 +1,43 @@
+-- Runs `jayrill load` against 3 entries and 11 minions of 8 slots whose speeds
+-- differ threefold, with the placement strategy and load of the environment:
+-- STRATEGY, LOAD (percent of the slots), SECONDS, SEED, BURST (tasks), DEADLINE.
+local function setting(name, default) return os.getenv(name) or default end
+local strategy = setting("STRATEGY", "jayrill")
+local load_percent = setting("LOAD", "60")
+local seconds = tonumber(setting("SECONDS", "20"))
+local slowness = { 1, 1, 1.2, 1.4, 1.6, 1.8, 2, 2.2, 2.5, 2.8, 3 }
+local fleet = {}
+for i, value in ipairs(slowness) do fleet[i] = "1*8:" .. value end
+
+local cluster = start_cluster({
+  entries = 3, agents = 11, slots = 8, slowness = slowness, strategy = strategy,
+  record = false, data_centres = { "dc1", "dc2", "dc3", "dc4" },
+})
+local addresses = {}
+for i, entry in ipairs(cluster.entries) do addresses[i] = entry.http end
+
+local function run_load(percent, duration_ms, seed, extra)
+  local arguments = {
+    "load", "--entry=" .. table.concat(addresses, ","), "--services=quotes",
+    "--fleet=" .. table.concat(fleet, ","), "--load_percent=" .. percent,
+    "--duration_ms=" .. duration_ms, "--seed=" .. seed, "--json",
+    "--deadline_ms=" .. setting("DEADLINE", "120000"), "--timeout_ms=150000",
+    "--teams=" .. setting("TEAMS", "a:1,b:1,c:1,d:1"),
+  }
+  for _, argument in ipairs(extra or {}) do table.insert(arguments, argument) end
+  local id = host.spawn("load", host.jayrill, arguments, {})
+  eventually("the load ends", function() return host.exit_code(id) ~= nil end, 600000)
+  local output = host.output(id)
+  local report = host.decode_json(output:match("%b{}%s*$") or output:match("{.*}") or "")
+  expect(report, "no report: %s", output)
+  return report, output
+end
+
+-- Slow start and the learning of speeds are over before the measured run.
+run_load(40, 8000, 99)
+local extra = {}
+if os.getenv("BURST") then
+  extra = { "--burst_tasks=" .. os.getenv("BURST"), "--burst_at_ms=" .. seconds * 500 }
+end
+local report, output = run_load(load_percent, seconds * 1000, setting("SEED", "1"), extra)
+print("REPORT " .. strategy .. " " .. load_percent .. " " .. output:gsub("\n", " "))
--- a/tests/scenario/prelude.lua
+++ b/tests/scenario/prelude.lua
@@ -159,6 +159,7 @@
     "--service=" .. (fields.service or "quotes"), "--slots=" .. (fields.slots or 8),
     "--slowness=" .. (fields.slowness or 1),
   }
+  if fields.record == false then table.insert(arguments, "--record=false") end
   if fields.faults then table.insert(arguments, "--faults=" .. fields.faults) end
   local self = start("backend of " .. fields.agent.agent_id, host.jayrill, arguments, {}, { http = http },
     function(self) answers_with(self, "/executions", 200) end)
@@ -177,6 +178,7 @@
   for i = 1, fields.entries or 3 do
     cluster.entries[i] = start_entry({
       id = "e" .. i, data_centre = dcs[(i - 1) % #dcs + 1], store = cluster.store.http,
+      strategy = fields.strategy,
     })
   end
   cluster.rpc = {}
@@ -187,6 +189,7 @@
     })
     cluster.backends[i] = start_backend({
       agent = cluster.agents[i], slots = fields.slots, slowness = (fields.slowness or {})[i],
+      record = fields.record,
     })
   end
   for _, entry in ipairs(cluster.entries) do
