Place tasks by the slack of their job and order them by latest start

Cause: the fastest minions were given to any task that came first, also to tasks whose job waited for another one anyway; and a short job waited for all tasks of a long one that came before it.

Ruled out: more look-ahead (nothing waited in agents' queues for long), other shares of the entries (the same with one team).

Change: a task that its job can spare goes to the slowest free minion that ends it in time; the job's expected end moves when a task that was sent is expected to take longer. The queue is ordered by arrival + 2 x the job's ideal time - the task's run time, with urgency as a head start, which keeps it free of starvation. Strategies that bind early keep the order of arrival.

Messages per task are unchanged.

--- a/src/jayrill/entry/dispatcher.h
+++ b/src/jayrill/entry/dispatcher.h
@@ -95,6 +95,16 @@
   // Admission (dispatcher_jobs.cc).
   std::optional<refusal> Admit(const job_spec& spec);
   std::optional<refusal> AdmitToService(const job_spec& spec);
+  /// Slots of a service weighted by speed, and the speed of the fastest.
+  struct fleet_speed {
+    double capacity = 0;
+    double fastest = 0;
+  };
+
+  fleet_speed SpeedOf(const service_pool& pool) const;
+  std::chrono::microseconds IdealTime(const service_pool& pool,
+                                      std::chrono::microseconds longest,
+                                      std::chrono::microseconds work) const;
   std::chrono::microseconds LowerBound(const job_spec& spec,
                                        const task_spec& task) const;
   void Enqueue(job_record& job);
--- a/src/jayrill/entry/dispatcher_jobs.cc
+++ b/src/jayrill/entry/dispatcher_jobs.cc
@@ -67,15 +67,9 @@
     return may_pass && now - *since < kNoMinionGrace ? std::nullopt : reason;
   }
   const profile& limits = config_->ProfileOf(spec.service);
+  const fleet_speed fleet = SpeedOf(pool);
   finish_estimate estimate;
-  double fastest = 0;
-  for (const agent_session* minion : pool.minions()) {
-    if (service_pool::Satisfies(*minion, limits.placement) &&
-        minion->in_service() && !minion->status().draining) {
-      estimate.capacity += minion->status().slots / minion->slowness();
-      fastest = std::max(fastest, 1.0 / minion->slowness());
-    }
-  }
+  estimate.capacity = fleet.capacity;
   estimate.work =
       Scale(pool.RunTimeAhead(limits.urgency),
             pool.has_learned_times() ? kLearnedPart : kDeclaredPart);
@@ -84,10 +78,25 @@
     estimate.work += bound;
     estimate.longest_task = std::max(estimate.longest_task, bound);
   }
-  estimate.longest_task = Scale(estimate.longest_task, 1.0 / fastest);
+  estimate.longest_task = Scale(estimate.longest_task, 1.0 / fleet.fastest);
   return CheckDeadline(estimate, spec.deadline);
 }
 
+dispatcher::fleet_speed dispatcher::SpeedOf(const service_pool& pool) const {
+  const profile_placement& placement =
+      config_->ProfileOf(pool.service()).placement;
+  fleet_speed fleet;
+  for (const agent_session* minion : pool.minions()) {
+    if (service_pool::Satisfies(*minion, placement) && minion->in_service() &&
+        !minion->status().draining) {
+      const double speed = 1.0 / minion->slowness();
+      fleet.capacity += minion->status().slots * speed;
+      fleet.fastest = std::max(fleet.fastest, speed);
+    }
+  }
+  return fleet;
+}
+
 std::chrono::microseconds dispatcher::LowerBound(const job_spec& spec,
                                                  const task_spec& task) const {
   const auto expected =
@@ -103,14 +112,38 @@
       binding == config_->services.end() ? "" : binding->second.profile;
   job.urgency = config_->ProfileOf(job.spec.service).urgency;
   service_pool& pool = agents_.Pool(job.spec.service);
+  std::chrono::microseconds longest{};
+  std::chrono::microseconds work{};
   for (std::uint32_t i = 0; i < job.tasks.size(); ++i) {
     const task_spec& task = job.spec.tasks[i];
-    job.tasks[i].run_time =
+    const auto run_time =
         speeds_.ExpectedRunTime(job.spec.service, task.kind, task.declared);
+    job.tasks[i].run_time = run_time;
+    longest = std::max(longest, run_time);
+    work += run_time;
+  }
+  // Strategies that bind early get the order of arrival, as a plain queue has.
+  if (!placer_.BindsEarly()) {
+    job.ideal_time = IdealTime(pool, longest, work);
+  }
+  job.expected_end = job.arrival + job.ideal_time;
+  for (std::uint32_t i = 0; i < job.tasks.size(); ++i) {
     pool.Push(job.spec.team, job.Queued(i));
   }
 }
 
+std::chrono::microseconds dispatcher::IdealTime(
+    const service_pool& pool,
+    std::chrono::microseconds longest,
+    std::chrono::microseconds work) const {
+  const fleet_speed fleet = SpeedOf(pool);
+  if (fleet.capacity <= 0) {
+    return longest;
+  }
+  return std::max(Scale(longest, 1.0 / fleet.fastest),
+                  Scale(work, 1.0 / fleet.capacity));
+}
+
 void dispatcher::Refuse(job_id id, const refusal& reason) {
   ReportOutcome(id, MakeJobFailure(job_effect::kNotRun, reason.code,
                                    reason.message, reason.remedy));
--- a/src/jayrill/entry/dispatcher_sending.cc
+++ b/src/jayrill/entry/dispatcher_sending.cc
@@ -107,6 +107,9 @@
         [this, &pool = pool](const std::string& team) {
           return MayStart(team, pool);
         },
+        [this](const queued_task& task) {
+          return jobs_.Find(task.job)->expected_end;
+        },
         [this](const queued_task& task, agent_session& session) {
           Send(task, session);
         });
@@ -139,6 +142,11 @@
     retries_.OnFirstStart();
   }
   ++job.outstanding;
+  const std::chrono::duration<double, std::micro> expected =
+      task.run_time * session.slowness();
+  job.expected_end =
+      std::max(job.expected_end,
+               now + std::chrono::duration_cast<steady_duration>(expected));
   job.collector.OnStartSent(task.index);
   teams_.OnStart(job.spec.team);
   profiles_.OnStart(job.profile);
--- a/src/jayrill/entry/job_record.h
+++ b/src/jayrill/entry/job_record.h
@@ -41,6 +41,11 @@
   std::uint32_t urgency = 50;
   steady_time arrival;
   steady_time deadline;
+  /// Time that the job would need alone on the fleet, by the estimates.
+  std::chrono::microseconds ideal_time{};
+  /// When the job is expected to end: its ideal end, or later when a task that
+  /// was sent is expected to take longer.
+  steady_time expected_end;
   job_collector collector;
   std::vector<task_record> tasks;
   std::uint32_t unfinished;       ///< Tasks without a success.
@@ -49,7 +54,7 @@
 
   /// \returns the queue entry of task \p index.
   queued_task Queued(std::uint32_t index) const {
-    return {id, index, urgency, arrival, tasks[index].run_time};
+    return {id, index, urgency, arrival, tasks[index].run_time, ideal_time};
   }
 };
 
--- a/src/jayrill/entry/task_placer.cc
+++ b/src/jayrill/entry/task_placer.cc
@@ -17,6 +17,7 @@
                       const cluster_config& config,
                       steady_time now,
                       const quota_check& may_start,
+                      const job_end& expected_end,
                       const send& send_task) {
   MakeViews(pool, config, now);
   const bool late = !strategy_->BindsEarly();
@@ -27,7 +28,9 @@
   int passed_over = 0;
   while (cursor* const next = NextCursor()) {
     const queued_task task = *next->position;
-    const auto choice = strategy_->Prefer(task.run_time, views_);
+    const auto slack = std::chrono::duration_cast<std::chrono::microseconds>(
+        expected_end(task) - now);
+    const auto choice = strategy_->Prefer({task.run_time, slack}, views_);
     if (!choice) {
       return;
     }
--- a/src/jayrill/entry/task_placer.h
+++ b/src/jayrill/entry/task_placer.h
@@ -22,17 +22,23 @@
  public:
   /// \returns true when \p team may have one more task running.
   using quota_check = std::function<bool(const std::string& team)>;
+  /// \returns when the job of \p task is expected to end.
+  using job_end = std::function<steady_time(const queued_task& task)>;
   /// Sends \p task to \p session.
   using send = std::function<void(const queued_task& task, agent_session&)>;
 
   explicit task_placer(std::unique_ptr<placement_strategy> strategy)
       : strategy_(std::move(strategy)) {}
 
+  /// \returns true when tasks must not wait in the entry's queue.
+  bool BindsEarly() const { return strategy_->BindsEarly(); }
+
   /// Places what can be placed of \p pool now.
   void Run(service_pool& pool,
            const cluster_config& config,
            steady_time now,
            const quota_check& may_start,
+           const job_end& expected_end,
            const send& send_task);
 
  private:
--- a/src/jayrill/placement/placement_strategy.cc
+++ b/src/jayrill/placement/placement_strategy.cc
@@ -16,7 +16,7 @@
   explicit random_strategy(const random_source& random) : random_(random) {}
 
   std::optional<placement_choice> Prefer(
-      std::chrono::microseconds /*run_time*/,
+      const task_demand& /*task*/,
       std::span<const minion_view> minions) override {
     if (minions.empty()) {
       return std::nullopt;
@@ -34,7 +34,7 @@
 class round_robin_strategy final : public placement_strategy {
  public:
   std::optional<placement_choice> Prefer(
-      std::chrono::microseconds /*run_time*/,
+      const task_demand& /*task*/,
       std::span<const minion_view> minions) override {
     if (minions.empty()) {
       return std::nullopt;
@@ -55,7 +55,7 @@
       : random_(random) {}
 
   std::optional<placement_choice> Prefer(
-      std::chrono::microseconds /*run_time*/,
+      const task_demand& /*task*/,
       std::span<const minion_view> minions) override {
     if (minions.empty()) {
       return std::nullopt;
@@ -79,13 +79,48 @@
   random_source random_;
 };
 
-/// Binds late, to the minion with the earliest expected finish, and leaves a
+/// Binds late. A task with slack goes to the slowest free minion that ends it
+/// in time, so that fast slots stay free for the tasks on which jobs wait. Any
+/// other goes to the minion with the earliest expected finish, and leaves a
 /// slow free slot unused when a faster one is expected to finish sooner.
 class earliest_finish_strategy final : public placement_strategy {
  public:
   std::optional<placement_choice> Prefer(
-      std::chrono::microseconds run_time,
+      const task_demand& task,
       std::span<const minion_view> minions) override {
+    const auto within_slack = SlowestInTime(task, minions);
+    return within_slack ? within_slack : EarliestFinish(task, minions);
+  }
+
+  bool BindsEarly() const override { return false; }
+
+ private:
+  /// Run times of one kind differ; a task is taken to need this part more when
+  /// its slack is used.
+  static constexpr double kSlackMargin = 1.2;
+
+  static std::optional<placement_choice> SlowestInTime(
+      const task_demand& task,
+      std::span<const minion_view> minions) {
+    std::optional<placement_choice> best;
+    const double limit =
+        static_cast<double>(task.slack.count()) /
+        (kSlackMargin * static_cast<double>(task.run_time.count() + 1));
+    for (std::size_t i = 0; i < minions.size(); ++i) {
+      const minion_view& minion = minions[i];
+      if (!minion.HasFreeSlot() || minion.slowness > limit) {
+        continue;
+      }
+      if (!best || minion.slowness > minions[best->index].slowness) {
+        best = placement_choice{i, true};
+      }
+    }
+    return best;
+  }
+
+  static std::optional<placement_choice> EarliestFinish(
+      const task_demand& task,
+      std::span<const minion_view> minions) {
     std::optional<placement_choice> best;
     double best_finish = std::numeric_limits<double>::infinity();
     for (std::size_t i = 0; i < minions.size(); ++i) {
@@ -95,7 +130,7 @@
       }
       const double wait = minion.HasFreeSlot() ? 0.0 : Wait(minion);
       const double finish =
-          wait + static_cast<double>(run_time.count()) * minion.slowness;
+          wait + static_cast<double>(task.run_time.count()) * minion.slowness;
       if (finish < best_finish) {
         best = placement_choice{i, minion.CanStart()};
         best_finish = finish;
@@ -104,9 +139,6 @@
     return best;
   }
 
-  bool BindsEarly() const override { return false; }
-
- private:
   /// A minion in slow start or trial frees no slot for this entry before a
   /// result; its expected time is not known, so a typical one is assumed.
   static double Wait(const minion_view& minion) {
--- a/src/jayrill/placement/placement_strategy.h
+++ b/src/jayrill/placement/placement_strategy.h
@@ -15,6 +15,17 @@
 
 namespace jayrill {
 
+/// What a strategy knows of a task.
+struct task_demand {
+  /// Expected run time on the average minion.
+  std::chrono::microseconds run_time{};
+  /// Time in which the task may end without delaying its job: its other tasks
+  /// are expected to need as long. Negative when the job is late.
+  std::chrono::microseconds slack{};
+
+  auto operator<=>(const task_demand&) const = default;
+};
+
 /// The minion that a task should run on.
 struct placement_choice {
   std::size_t index = 0;   ///< In the minions that were offered.
@@ -32,19 +43,19 @@
  public:
   virtual ~placement_strategy() = default;
 
-  /// \param run_time expected run time of the task on the average minion.
+  /// \param task what is known of the task.
   /// \param minions the minions that may run it, in any order.
   /// \returns the best one, which may be one to wait for, or nothing when none
   /// may get the task.
   virtual std::optional<placement_choice> Prefer(
-      std::chrono::microseconds run_time,
+      const task_demand& task,
       std::span<const minion_view> minions) = 0;
 
   /// \returns the index in \p minions of the one that Prefer chooses, or
   /// nothing when the task should wait.
-  std::optional<std::size_t> Choose(std::chrono::microseconds run_time,
+  std::optional<std::size_t> Choose(const task_demand& task,
                                     std::span<const minion_view> minions) {
-    const auto choice = Prefer(run_time, minions);
+    const auto choice = Prefer(task, minions);
     return choice && choice->start_now ? std::optional(choice->index)
                                        : std::nullopt;
   }
--- a/src/jayrill/placement/task_queue.cc
+++ b/src/jayrill/placement/task_queue.cc
@@ -2,6 +2,7 @@
 
 #include <cassert>
 #include <tuple>
+#include <utility>
 
 namespace jayrill {
 
@@ -11,8 +12,13 @@
 /// overtakes the least urgent one by at most 4 s.
 constexpr std::chrono::milliseconds kUrgencyHeadStart{40};
 
-steady_time VirtualArrival(const queued_task& task) {
-  return task.arrival - task.urgency * kUrgencyHeadStart;
+/// A job is due after this multiple of the time that it would need alone.
+/// Chosen by measurement; see docs/measurements.md.
+constexpr int kDueFactor = 2;
+
+steady_time LatestStart(const queued_task& task) {
+  return task.arrival + task.job_time * kDueFactor - task.run_time -
+         task.urgency * kUrgencyHeadStart;
 }
 
 }  // namespace
@@ -20,31 +26,26 @@
 bool task_queue::start_order_less::operator()(const queued_task& a,
                                               const queued_task& b) const {
   const auto key = [](const queued_task& task) {
-    return std::make_tuple(VirtualArrival(task), task.job, -task.run_time,
-                           task.index);
+    return std::make_tuple(LatestStart(task), task.job, task.index);
   };
   return key(a) < key(b);
 }
 
 void task_queue::Push(const queued_task& task) {
-  const bool added = tasks_.insert(task).second;
+  const auto [position, added] = tasks_.insert(task);
   assert(added && "a task waits at most once");
   if (!added) {
     return;
   }
   run_time_by_urgency_[task.urgency] += task.run_time;
-  waiting_job& job = jobs_[task.job];
-  if (job.count++ == 0) {
-    job.first = task;
-    job.first.run_time = std::chrono::microseconds::max();
-    job.first.index = 0;
-  }
+  jobs_[task.job].emplace(task.index, position);
 }
 
 task_queue::const_iterator task_queue::Remove(const_iterator position) {
   run_time_by_urgency_[position->urgency] -= position->run_time;
   const auto job = jobs_.find(position->job);
-  if (--job->second.count == 0) {
+  job->second.erase(position->index);
+  if (job->second.empty()) {
     jobs_.erase(job);
   }
   return tasks_.erase(position);
@@ -60,13 +61,13 @@
   if (found == jobs_.end()) {
     return 0;
   }
-  auto position = tasks_.lower_bound(found->second.first);
-  std::size_t removed = 0;
-  while (position != tasks_.end() && position->job == job) {
-    position = Remove(position);
-    ++removed;
+  const positions removed = std::move(found->second);
+  jobs_.erase(found);
+  for (const auto& [index, position] : removed) {
+    run_time_by_urgency_[position->urgency] -= position->run_time;
+    tasks_.erase(position);
   }
-  return removed;
+  return removed.size();
 }
 
 std::chrono::microseconds task_queue::RunTimeAhead(
@@ -80,7 +81,7 @@
 }
 
 double task_queue::Priority(const queued_task& task) {
-  return std::chrono::duration<double>(VirtualArrival(task).time_since_epoch())
+  return std::chrono::duration<double>(LatestStart(task).time_since_epoch())
       .count();
 }
 
--- a/src/jayrill/placement/task_queue.h
+++ b/src/jayrill/placement/task_queue.h
@@ -21,16 +21,20 @@
   std::uint32_t urgency = 50;            ///< 0 to 100; higher goes first.
   steady_time arrival;                   ///< Of the job.
   std::chrono::microseconds run_time{};  ///< Expected on the average minion.
+  /// Time that the whole job would need alone on the fleet.
+  std::chrono::microseconds job_time{};
 
   auto operator<=>(const queued_task&) const = default;
 };
 
 /// Waiting tasks of one service in the order in which they should start.
 ///
-/// Each point of urgency is worth a fixed head start in time, so a task of low
-/// urgency is overtaken only by tasks that arrive within that time and cannot
-/// starve. Within a job the longest task goes first, because the job is as
-/// slow as its last task.
+/// The order is that of latest start times: a job is due after twice the time
+/// that it would need alone, and each task has to start its own run time before
+/// that. So short jobs are not held up by long ones in proportion to their
+/// length, and the longest task of a job, on which its end depends, goes first.
+/// Each point of urgency is worth a fixed head start. A task is overtaken only
+/// by tasks that arrive before its own due time, so it cannot starve.
 class task_queue {
  private:
   struct start_order_less {
@@ -55,8 +59,7 @@
   /// Removes the task that Front returns. The queue must not be empty.
   void PopFront();
 
-  /// Removes all tasks of \p job. All tasks of a job have the same arrival and
-  /// urgency, so they wait next to each other.
+  /// Removes all tasks of \p job.
   /// \returns how many were removed.
   std::size_t RemoveJob(job_id job);
 
@@ -83,14 +86,10 @@
   const_iterator end() const { return tasks_.end(); }
 
  private:
-  /// First possible task of a job in start order, and how many wait.
-  struct waiting_job {
-    queued_task first;
-    std::size_t count = 0;
-  };
+  using positions = std::unordered_map<std::uint32_t, const_iterator>;
 
   std::set<queued_task, start_order_less> tasks_;
-  std::unordered_map<job_id, waiting_job> jobs_;
+  std::unordered_map<job_id, positions> jobs_;  // By task index.
   std::map<std::uint32_t, std::chrono::microseconds> run_time_by_urgency_;
 };
 
--- a/tests/unit/placement_test.cc
+++ b/tests/unit/placement_test.cc
@@ -27,6 +27,7 @@
   const char* name;
   std::vector<minion_view> minions;
   std::optional<std::size_t> expected;
+  microseconds slack{};
 };
 
 class earliest_finish_test : public testing::TestWithParam<choice_case> {};
@@ -36,7 +37,8 @@
 TEST_P(earliest_finish_test, Chooses) {
   auto strategy = MakePlacementStrategy("jayrill", random_source(1));
   ASSERT_TRUE(strategy.has_value());
-  EXPECT_EQ((*strategy)->Choose(milliseconds(100), GetParam().minions),
+  EXPECT_EQ((*strategy)->Choose({milliseconds(100), GetParam().slack},
+                                GetParam().minions),
             GetParam().expected);
 }
 
@@ -52,6 +54,14 @@
         choice_case{"waits_for_fast",
                     {Minion(0, 3.0), Minion(2, 1.0, milliseconds(50))},
                     std::nullopt},
+        choice_case{"slack_uses_the_slow",
+                    {Minion(0, 1.0), Minion(0, 3.0), Minion(0, 2.0)},
+                    2,
+                    milliseconds(250)},
+        choice_case{"slack_does_not_wait",
+                    {Minion(0, 1.0), Minion(2, 3.0, milliseconds(1))},
+                    0,
+                    milliseconds(900)},
         choice_case{"all_at_their_limit",
                     {Minion(3, 1.0), Minion(3, 2.0)},
                     std::nullopt}),
@@ -64,7 +74,8 @@
   task_queue queue;
   queue.Push({job_id{{1}, 0}, 0, 0, time.Now(), milliseconds(100)});
   std::uint64_t sequence = 0;
-  // The head start of the highest urgency is 4 s; ten more are generous.
+  // The head start of the highest urgency is 4 s and no job here is due later
+  // than 2 s after its arrival; 14 s are generous.
   for (int i = 0; i < 1400; ++i) {
     time.Advance(milliseconds(10));
     const auto urgency = static_cast<std::uint32_t>(random.Below(101));
@@ -100,6 +111,18 @@
   }
 }
 
+// Guards against a short job that waits for all tasks of a long one that came
+// just before it.
+TEST(task_queue_test, ShortJobsOvertakeLongOnes) {
+  task_queue queue;
+  const steady_time now = steady_time() + std::chrono::hours(1);
+  queue.Push(
+      {job_id{{1}, 1}, 0, 50, now, milliseconds(500), milliseconds(5000)});
+  queue.Push({job_id{{1}, 2}, 0, 50, now + milliseconds(10), milliseconds(100),
+              milliseconds(100)});
+  EXPECT_EQ(queue.Front()->job.sequence, 2U);
+}
+
 // Guards against a job whose longest task starts last.
 TEST(task_queue_test, LongestTaskOfAJobGoesFirst) {
   task_queue queue;
