--- a/src/jayrill/entry/entry_process.cc
+++ b/src/jayrill/entry/entry_process.cc
@@ -83,7 +83,7 @@
   MakeStoreClients();
   MakeApis();
   if (const auto listening = Listen(); !listening) {
-    return listening;
+    return tl::unexpected(listening.error());
   }
   JoinMembership();
   QObject::connect(&tick_, &QTimer::timeout, &tick_, [this] { Tick(); });
--- a/src/jayrill/entry/entry_status.cc
+++ b/src/jayrill/entry/entry_status.cc
@@ -8,7 +8,7 @@
 namespace jayrill {
 namespace {
 
-using namespace Qt::StringLiterals;
+using Qt::Literals::StringLiterals::operator""_s;
 
 qint64 Number(std::uint64_t value) {
   return static_cast<qint64>(value);
--- a/src/jayrill/entry/guarded_socket.cc
+++ b/src/jayrill/entry/guarded_socket.cc
@@ -78,7 +78,8 @@
 }
 
 qint64 guarded_socket::bytesAvailable() const {
-  return QIODevice::bytesAvailable() + delivered_.size() - delivered_size_;
+  return QAbstractSocket::bytesAvailable() + delivered_.size() -
+         delivered_size_;
 }
 
 qint64 guarded_socket::bytesToWrite() const {
--- a/src/jayrill/entry/http_server.cc
+++ b/src/jayrill/entry/http_server.cc
@@ -87,7 +87,7 @@
 
 void http_server::Route(const std::string& path,
                         QHttpServerRequest::Methods methods,
-                        handler handle) {
+                        const handler& handle) {
   const QString pattern = QString::fromStdString(path);
   if (path.find("<arg>") == std::string::npos) {
     server_.route(pattern, methods,
--- a/src/jayrill/entry/http_server.h
+++ b/src/jayrill/entry/http_server.h
@@ -27,7 +27,7 @@
   /// \p path has at most one `<arg>`.
   void Route(const std::string& path,
              QHttpServerRequest::Methods methods,
-             handler handle);
+             const handler& handle);
 
   /// \returns the port; an error when \p address cannot be listened on.
   result<std::uint16_t> Listen(const std::string& address, std::uint16_t port);
--- a/src/jayrill/entry/job_api.cc
+++ b/src/jayrill/entry/job_api.cc
@@ -132,7 +132,7 @@
 }
 
 job_api::job_ptr job_api::AddJob(const exchange_ptr& exchange, job_spec spec) {
-  const auto job = std::make_shared<active_job>();
+  auto job = std::make_shared<active_job>();
   job->id = {parts_.entry, ++last_sequence_};
   job->spec = std::move(spec);
   job->arrived = parts_.time.Now();
--- a/src/jayrill/entry/operator_api.cc
+++ b/src/jayrill/entry/operator_api.cc
@@ -15,7 +15,8 @@
 namespace jayrill {
 namespace {
 
-using namespace Qt::StringLiterals;
+using Qt::Literals::StringLiterals::operator""_s;
+using Qt::Literals::StringLiterals::operator""_L1;
 using method = QHttpServerRequest::Method;
 
 QJsonObject ParseObject(const std::string& json) {
--- a/src/jayrill/entry/operator_change.cc
+++ b/src/jayrill/entry/operator_change.cc
@@ -13,7 +13,7 @@
 namespace jayrill {
 namespace {
 
-using namespace Qt::StringLiterals;
+using Qt::Literals::StringLiterals::operator""_L1;
 
 /// Method, collection and suffix of one kind of change, its fields and how its
 /// action is read from the body.
