--- a/src/jayrill/cli/flags.h
+++ b/src/jayrill/cli/flags.h
@@ -32,7 +32,7 @@
 ABSL_DECLARE_FLAG(std::int64_t, slots);
 ABSL_DECLARE_FLAG(double, slowness);
 ABSL_DECLARE_FLAG(std::string, faults);
-ABSL_DECLARE_FLAG(std::string, record);
+ABSL_DECLARE_FLAG(bool, record);
 ABSL_DECLARE_FLAG(bool, demo);
 
 // Client commands.
@@ -43,6 +43,7 @@
 ABSL_DECLARE_FLAG(std::int64_t, timeout_ms);
 ABSL_DECLARE_FLAG(std::int64_t, wait_ms);
 ABSL_DECLARE_FLAG(bool, json);
+ABSL_DECLARE_FLAG(bool, force);
 ABSL_DECLARE_FLAG(std::int64_t, urgency);
 ABSL_DECLARE_FLAG(std::int64_t, max_tasks);
 ABSL_DECLARE_FLAG(std::int64_t, max_running);
