--- a/src/jayrill/entry/entry_status.cc
+++ b/src/jayrill/entry/entry_status.cc
@@ -8,6 +8,8 @@
 namespace jayrill {
 namespace {
 
+// Version 14 of the linter sees using-declarations of literals as unused.
+// NOLINTNEXTLINE(google-build-using-namespace)
 using namespace Qt::StringLiterals;
 
 qint64 Number(std::uint64_t value) {
--- a/src/jayrill/entry/operator_change.cc
+++ b/src/jayrill/entry/operator_change.cc
@@ -13,6 +13,8 @@
 namespace jayrill {
 namespace {
 
+// Version 14 of the linter sees using-declarations of literals as unused.
+// NOLINTNEXTLINE(google-build-using-namespace)
 using namespace Qt::StringLiterals;
 
 /// Method, collection and suffix of one kind of change, its fields and how its
