--- /dev/null
+++ b/bench/data_centre.lua
@@ -0,0 +1,57 @@
+-- Work completed while a data centre leaves and returns: 3 entries, 11 minions
+-- in 4 data centres, arrivals above what the remaining slots can do. Samples
+-- the busy slots of the remaining minions; 100 % is what they could do.
+local strategy = os.getenv("STRATEGY") or "jayrill"
+local slowness = { 1, 1, 1.2, 1.4, 1.6, 1.8, 2, 2.2, 2.5, 2.8, 3 }
+local fleet = {}
+for i, value in ipairs(slowness) do fleet[i] = "1*8:" .. value end
+local cluster = start_cluster({
+  entries = 3, agents = 11, slots = 8, slowness = slowness, strategy = strategy,
+  record = false, data_centres = { "dc1", "dc2", "dc3", "dc4" },
+})
+local addresses = {}
+for i, entry in ipairs(cluster.entries) do addresses[i] = entry.http end
+local load = host.spawn("load", host.jayrill, {
+  "load", "--entry=" .. table.concat(addresses, ","), "--services=quotes",
+  "--fleet=" .. table.concat(fleet, ","), "--load_percent=110", "--duration_ms=32000",
+  "--deadline_ms=300000", "--timeout_ms=300000", "--json",
+}, {})
+
+-- Busy and all slots of the minions outside dc1, and of those in it.
+local function sample()
+  local rest, rest_slots, out, out_slots = 0, 0, 0, 0
+  for _, agent in ipairs(status_of(cluster.entries[2]).agents) do
+    if agent.data_centre == "dc1" then
+      out, out_slots = out + agent.busy, out_slots + agent.slots
+    else
+      rest, rest_slots = rest + agent.busy, rest_slots + agent.slots
+    end
+  end
+  return rest, rest_slots, out, out_slots
+end
+
+local function phase(name, span_ms)
+  local rest, rest_slots, out, out_slots, samples = 0, 0, 0, 0, 0
+  local stop = host.monotonic_ms() + span_ms
+  while host.monotonic_ms() < stop do
+    local a, b, c, d = sample()
+    rest, rest_slots, out, out_slots = rest + a, rest_slots + b, out + c, out_slots + d
+    samples = samples + 1
+    host.run(50)
+  end
+  print(string.format("PHASE %s %s: busy slots of the rest %.1f %%, of dc1 %.1f %%, %d samples",
+    strategy, name, 100 * rest / rest_slots, 100 * out / out_slots, samples))
+end
+
+host.run(10000)
+phase("before", 3000)
+expect(data_centre_out(cluster.entries[1], "dc1").status == 200, "out refused")
+phase("leaving (first second)", 1000)
+phase("out", 6000)
+expect(data_centre_in(cluster.entries[1], "dc1").status == 200, "in refused")
+phase("returning (slow start)", 5000)
+phase("back", 3000)
+eventually("the load ends", function() return host.exit_code(load) ~= nil end, 600000)
+local report = host.decode_json(host.output(load):match("{.*}"))
+print(string.format("LOAD %s: %d of %d jobs whole, wasted messages %.3f %%, messages per task %.2f",
+  strategy, report.jobs_whole, report.jobs_sent, 100 * report.wasted_share, report.messages_per_task))
--- a/bench/policy.lua
+++ b/bench/policy.lua
@@ -1,10 +1,10 @@
 -- Runs `jayrill load` against 3 entries and 11 minions of 8 slots whose speeds
 -- differ threefold, with the placement strategy and load of the environment:
--- STRATEGY, LOAD (percent of the slots), SECONDS, SEED, BURST (tasks), DEADLINE.
+-- STRATEGY, LOAD (percent of the slots), DURATION_S, SEED, BURST (tasks), DEADLINE.
 local function setting(name, default) return os.getenv(name) or default end
 local strategy = setting("STRATEGY", "jayrill")
 local load_percent = setting("LOAD", "60")
-local seconds = tonumber(setting("SECONDS", "20"))
+local seconds = tonumber(setting("DURATION_S", "20"))
 local slowness = { 1, 1, 1.2, 1.4, 1.6, 1.8, 2, 2.2, 2.5, 2.8, 3 }
 local fleet = {}
 for i, value in ipairs(slowness) do fleet[i] = "1*8:" .. value end
--- a/src/jayrill/base.h
+++ b/src/jayrill/base.h
@@ -9,6 +9,7 @@
 #include "jayrill/base/error.h"
 #include "jayrill/base/hash.h"
 #include "jayrill/base/ids.h"
+#include "jayrill/base/name.h"
 #include "jayrill/base/random_source.h"
 #include "jayrill/base/ref_counted.h"
 #include "jayrill/base/snapshot.h"
--- a/src/jayrill/cli/config_commands.cc
+++ b/src/jayrill/cli/config_commands.cc
@@ -3,6 +3,7 @@
 #include <QJsonArray>
 #include <iostream>
 
+#include "jayrill/base/name.h"
 #include "jayrill/cli/command.h"
 #include "jayrill/cli/flags.h"
 #include "jayrill/cli/operator_session.h"
@@ -90,7 +91,7 @@
     return List(session, kind, "");
   }
   const bool is_known = verb == "show" || verb == "set" || verb == "remove";
-  if (!is_known || !IsSettingName(name)) {
+  if (!is_known || !IsValidName(name)) {
     return operator_session::FailUsage(
         std::string("usage: jayrill ") + kind.name +
         " list, or set|show|remove NAME with a name of 1 to 64 letters, "
@@ -194,7 +195,7 @@
   }
   const bool is_known = verb == "out" || verb == "in" || verb == "declare";
   if (!is_known || input.positional.size() != 2 ||
-      !IsSettingName(input.positional[1])) {
+      !IsValidName(input.positional[1])) {
     return operator_session::FailUsage(
         "usage: jayrill data-centre list, or out|in|declare NAME");
   }
--- a/src/jayrill/cli/setting_rules.cc
+++ b/src/jayrill/cli/setting_rules.cc
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 
+#include "jayrill/base/name.h"
 #include "jayrill/cli/endpoint.h"
 #include "jayrill/cli/flags.h"
 #include "jayrill/load/ideal.h"
@@ -18,8 +19,6 @@
 
 using enum setting_form;
 
-constexpr std::size_t kMaxName = 64;
-
 bool IsAddress(const std::string& value, bool any_port) {
   const std::optional<endpoint> address = ParseEndpoint(value);
   return address && (any_port || address->port != 0);
@@ -47,7 +46,7 @@
 bool IsAllowed(const setting& item, const std::string& value) {
   switch (item.form) {
     case kName:
-      return IsSettingName(value);
+      return IsValidName(value);
     case kAddress:
       return IsAddress(value, false);
     case kListenAddress:
@@ -163,13 +162,6 @@
 
 }  // namespace
 
-bool IsSettingName(const std::string& text) {
-  return !text.empty() && text.size() <= kMaxName &&
-         std::all_of(text.begin(), text.end(), [](unsigned char c) {
-           return absl::ascii_isalnum(c) || c == '_' || c == '-' || c == '.';
-         });
-}
-
 std::optional<setting_problem> CheckValue(const setting& item,
                                           const std::string& value,
                                           command_set commands) {
--- a/src/jayrill/cli/setting_rules.h
+++ b/src/jayrill/cli/setting_rules.h
@@ -15,9 +15,6 @@
   std::string remedy;
 };
 
-/// \returns true when \p text is a valid name of an item or a process.
-bool IsSettingName(const std::string& text);
-
 /// Checks \p value, the text of the flag of \p item, on its own.
 std::optional<setting_problem> CheckValue(const setting& item,
                                           const std::string& value,
--- a/src/jayrill/cli/settings_table.cc
+++ b/src/jayrill/cli/settings_table.cc
@@ -120,7 +120,8 @@
     case kChoice:
       return "one of " + std::string(item.choices);
     case kName:
-      return "1 to 64 letters, digits, '_', '-' or '.'";
+      return "1 to 64 letters, digits, '_', '-' or '.', first a letter or "
+             "digit";
     case kAddress:
       return "IP:port with a port of 1 to 65535";
     case kListenAddress:
--- a/src/jayrill/config/config_change.cc
+++ b/src/jayrill/config/config_change.cc
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <utility>
 
+#include "jayrill/base/name.h"
 #include "jayrill/config/internal/config_json.h"
 
 namespace jayrill {
@@ -14,7 +15,6 @@
 
 using config::internal::ToJson;
 
-constexpr std::size_t kMaxNameSize = 64;
 constexpr std::size_t kMaxReasonSize = 500;
 constexpr std::uint32_t kMaxUrgency = 100;
 
@@ -25,18 +25,10 @@
                    std::move(remedy));
 }
 
-bool IsName(std::string_view name) {
-  return !name.empty() && name.size() <= kMaxNameSize &&
-         std::all_of(name.begin(), name.end(), [](char c) {
-           return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') ||
-                  c == '_' || c == '-';
-         });
-}
-
 check CheckName(std::string_view name) {
-  if (!IsName(name)) {
+  if (!IsValidName(name)) {
     return Invalid("name \"" + std::string(name) + "\" is not allowed",
-                   "use 1 to 64 characters of a-z, 0-9, _ and -");
+                   std::string(kNameRule));
   }
   return {};
 }
--- a/src/jayrill/entry/operator_auth.cc
+++ b/src/jayrill/entry/operator_auth.cc
@@ -2,7 +2,7 @@
 
 #include <cstddef>
 
-#include "jayrill/job/job_codec.h"
+#include "jayrill/base/name.h"
 
 namespace jayrill {
 
@@ -41,10 +41,9 @@
 result<std::string> OperatorOf(const http_request& request) {
   const std::string_view name = request.Header("jayrill-operator");
   if (!IsValidName(name)) {
-    return MakeError(error_kind::kInvalidArgument,
-                     "the change does not name its operator",
-                     "send Jayrill-Operator with 1 to 64 characters of A-Z, "
-                     "a-z, 0-9, _, . or -");
+    return MakeError(
+        error_kind::kInvalidArgument, "the change does not name its operator",
+        "send the header Jayrill-Operator; " + std::string(kNameRule));
   }
   return std::string(name);
 }
--- a/src/jayrill/job/job_codec.cc
+++ b/src/jayrill/job/job_codec.cc
@@ -11,6 +11,8 @@
 #include <optional>
 #include <utility>
 
+#include "jayrill/base/name.h"
+
 namespace jayrill {
 namespace {
 
@@ -44,7 +46,7 @@
     std::string text = value.toString().toStdString();
     if (!value.isString() || !IsValidName(text)) {
       Fail("field '" + where_ + std::string(field) + "' must be a name",
-           "give a string of 1 to 64 characters of A-Z, a-z, 0-9, _, . or -");
+           std::string(kNameRule));
     }
     return text;
   }
@@ -160,15 +162,6 @@
 
 }  // namespace
 
-bool IsValidName(std::string_view name) {
-  const auto is_name_char = [](char c) {
-    return (c >= 'A' && c <= 'Z') || (c >= 'a' && c <= 'z') ||
-           (c >= '0' && c <= '9') || c == '_' || c == '.' || c == '-';
-  };
-  return !name.empty() && name.size() <= 64 &&
-         std::all_of(name.begin(), name.end(), is_name_char);
-}
-
 result<job_spec> DecodeJob(std::string_view body) {
   QJsonParseError parse_error;
   // Qt's parser refuses more than 1,024 levels, so nesting cannot exhaust the
--- a/src/jayrill/job/job_codec.h
+++ b/src/jayrill/job/job_codec.h
@@ -22,9 +22,6 @@
 /// compact JSON.
 result<job_spec> DecodeJob(std::string_view body);
 
-/// \returns true when \p name has 1 to 64 characters of [A-Za-z0-9_.-].
-bool IsValidName(std::string_view name);
-
 /// \returns the JSON body of the answer to the job with the text \p id, which
 /// is empty for a job that was refused before it got one.
 std::string EncodeOutcome(std::string_view id, const job_outcome& outcome);
