Read the store again when a change is accepted during the read

The read of the store had begun before revision 11 was accepted by another entry, and an agent or the watch brought 11 before the answer of the read arrived. Ruled out: a store that went back; the stand-in only counts up.

Change: a submission keeps the revision in force when its read began. An older value is a fault of the store only when it is older than that one; otherwise the value is read again.

--- a/src/jayrill/config/config_store.cc
+++ b/src/jayrill/config/config_store.cc
@@ -32,6 +32,7 @@
   /// effect as long as the key is at that revision.
   std::optional<store_revision> unsettled;
   config_revision tried;  ///< Newest configuration that a write was based on.
+  config_revision known;  ///< Revision in force here when the read began.
 };
 
 config_store::config_store(store& backing,
@@ -67,6 +68,7 @@
 }
 
 void config_store::Read(submission_ref item) {
+  item->known = holder_.revision();
   store_.Get(kConfigKey,
              guard_.Wrap([this, item](result<std::optional<store_entry>> got) {
                if (got) {
@@ -89,6 +91,11 @@
   if (Settle(*item, at, *config)) {
     return;
   }
+  if (config->revision < holder_.revision() &&
+      config->revision >= item->known) {
+    Retry(std::move(item));  // A newer one was accepted during the read.
+    return;
+  }
   if (config->revision < holder_.revision()) {
     Fail(*item, {error_kind::kUnavailable,
                  "the store holds configuration " +
--- a/tests/unit/config_test.cc
+++ b/tests/unit/config_test.cc
@@ -285,6 +285,23 @@
   }
 }
 
+// Guards against a change that is refused, as if the store had gone back,
+// because another one was accepted while it was read.
+TEST(config_store_test, ReadsAgainAfterAChangeDuringTheRead) {
+  config_world world(1);
+  world.timers.RunFor(milliseconds(1'000));
+  world.backing.set_fault_plan([](memory_store::operation) {
+    return store_fault{store_fault::kind::kNone, {}, milliseconds(500)};
+  });
+  world.Submit(0);
+  world.timers.RunFor(milliseconds(1));
+  world.backing.set_fault_plan(nullptr);
+  world.Submit(1);
+  world.timers.RunFor(milliseconds(2'000));
+  EXPECT_TRUE(world.refused.empty());
+  EXPECT_EQ(world.accepted.size(), 2U);
+}
+
 // Guards against an entry that holds its copy for current while the store is
 // down, and against an answer other than "not accepted" to its operator.
 TEST(config_store_test, IsUnconfirmedAndRefusesWhileTheStoreIsDown) {
