Repeat messages in the session property and lose running work in agent_frozen

The session property did not fail when the gate admitted duplicates, because no message was delivered twice. The scenario agent_frozen did not fail when an entry sent the starts of a lost session again, because nothing ran on the agent when it was frozen. Both cover the case now and fail with the mechanism off; they pass with it on.

--- a/tests/scenario/agent_frozen.lua
+++ b/tests/scenario/agent_frozen.lua
@@ -4,6 +4,11 @@
 local entry = cluster.entries[1]
 local first = submit(entry, { tasks = 4, work_ms = 50 }).await()
 expect_whole(first, 4)
+-- These run on both agents when one is frozen; their results are lost there.
+local running = submit(entry, { tasks = 4, work_ms = 400, tag = "running" })
+eventually("both agents run tasks", function()
+  return runs_of({ cluster.backends[1] }, "running") > 0
+end)
 cluster.agents[1]:freeze()
 local jobs = {}
 for n = 1, 10 do
@@ -15,6 +20,9 @@
   before[n] = job.await()
   expect(before[n].status ~= 0, "no answer: %s", before[n].text)
 end
+local lost = running.await()
+expect(lost.status ~= 200 and lost.json.error.effect == "may_have_run",
+  "the tasks on the frozen agent: %s", lost.text)
 cluster.agents[1]:thaw()
 eventually("the agent is back", function()
   local status = status_of(entry)
--- a/tests/unit/session_test.cc
+++ b/tests/unit/session_test.cc
@@ -14,7 +14,7 @@
 
 // Guards against a start that is executed twice, or executed after the entry
 // was told that it did not run, under loss of connections with starts in
-// flight and of results that were not acknowledged.
+// flight, of results that were not acknowledged, and repeated messages.
 RC_GTEST_PROP(session_property,
               StartsRunAtMostOnceAndFencesAreTrue,
               (std::uint64_t seed)) {
@@ -62,7 +62,10 @@
       case 3:  // Deliver the oldest message; old connections may deliver late.
         if (!in_flight.empty()) {
           const message next = in_flight.front();
-          in_flight.pop_front();
+          // A message that stays is delivered again.
+          if (random.Below(4) > 0) {
+            in_flight.pop_front();
+          }
           if (gate.Admit(next.epoch, next.number) ==
               start_gate::decision::kAdmitted) {
             ++runs[next.task];
