Fail config_in_force when a refused change is in force

With the read-back of a lost answer off, a change whose answer was lost was refused as a conflict with itself although it was in force, and the scenario passed. It now loses two answers in a row and checks that no refused change is in the audit trail; it fails with the read-back off and passes with it on.

--- a/tests/scenario/config_in_force.lua
+++ b/tests/scenario/config_in_force.lua
@@ -17,9 +17,9 @@
   return shown, status
 end
 
-local accepted = 0
+local accepted, refused, revisions = 0, {}, {}
 for n = 1, 15 do
-  if n % 4 == 1 then store.lose_answers(1) end
+  if n % 4 == 1 then store.lose_answers(2) end
   if n % 5 == 2 then store.mode({ error_rate = 0.3 }) end
   if n == 6 then
     entries[3]:kill()
@@ -36,6 +36,7 @@
     local wanted = answer.json.revision
     expect(wanted > accepted, "revision %d after %d", wanted, accepted)
     accepted = wanted
+    revisions["change " .. n] = wanted
     local since = host.monotonic_ms()
     store.up()
     eventually("revision " .. wanted .. " in force everywhere", function()
@@ -54,16 +55,21 @@
     expect(host.monotonic_ms() - since <= bound_ms, "not in force within the bound")
   else
     expect(answer.json and answer.json.error, "a refusal without reason: %s", answer.text)
+    refused["change " .. n] = answer.json.error.code ~= "unknown_outcome"
   end
   store.up()
 end
 expect(accepted >= 5, "too few changes were accepted: revision %d", accepted)
--- Every accepted change is in the audit trail exactly once, in order.
+-- Every accepted change is in the audit trail exactly once, in order, and no
+-- refused one is.
 local trail = operator(entries[1], "GET", "/v1/audit").json.records
 local last = 0
 for _, record in ipairs(trail) do
   expect(record.revision == last + 1, "revision %d after %d in the trail", record.revision, last)
   expect(record.operator == "scenario" and record.reason ~= "", "an incomplete record")
+  local own = revisions[record.reason]
+  expect(not own or own == record.revision, "%s is in the trail again", record.reason)
+  expect(not refused[record.reason], "%s was refused and is in force", record.reason)
   last = record.revision
 end
 expect(last >= accepted, "the trail ends at %d, accepted was %d", last, accepted)
