--- a/tests/scenario/config_in_force.lua
+++ b/tests/scenario/config_in_force.lua
@@ -17,6 +17,20 @@
   return shown, status
 end
 
+-- Waits until the three entries and their three agents have `wanted`.
+local function await_in_force(wanted)
+  eventually("revision " .. wanted .. " in force everywhere", function()
+    for _, entry in ipairs(entries) do
+      local shown, status = revision_of(entry)
+      if not shown or shown < wanted or #status.agents ~= 3 then return false end
+      for _, agent in ipairs(status.agents) do
+        if not agent.connected or agent.revision < wanted then return false end
+      end
+    end
+    return true
+  end, bound_ms)
+end
+
 local accepted, refused, revisions = 0, {}, {}
 for n = 1, 15 do
   if n % 4 == 1 then store.lose_answers(2) end
@@ -39,19 +53,7 @@
     revisions["change " .. n] = wanted
     local since = host.monotonic_ms()
     store.up()
-    eventually("revision " .. wanted .. " in force everywhere", function()
-      for _, entry in ipairs(entries) do
-        if entry:exit_code() == nil then
-          local shown, status = revision_of(entry)
-          if not shown or shown < wanted then return false end
-          for _, agent in ipairs(status.agents) do
-            if not agent.connected or agent.revision < wanted then return false end
-          end
-          if #status.agents ~= 3 then return false end
-        end
-      end
-      return true
-    end, bound_ms)
+    await_in_force(wanted)
     expect(host.monotonic_ms() - since <= bound_ms, "not in force within the bound")
   else
     expect(answer.json and answer.json.error, "a refusal without reason: %s", answer.text)
@@ -60,6 +62,20 @@
   store.up()
 end
 expect(accepted >= 5, "too few changes were accepted: revision %d", accepted)
+-- An agent that was frozen during a change returns with the older configuration.
+cluster.agents[3]:freeze()
+eventually("the frozen agent is given up", function()
+  for _, entry in ipairs(entries) do
+    for _, agent in ipairs(status_of(entry).agents) do
+      if agent.id == "a3" and agent.connected then return false end
+    end
+  end
+  return true
+end)
+local change = operator(entries[1], "PUT", "/v1/profiles/frozen", { urgency = 1, reason = "frozen" })
+expect(change.status == 200, "change refused: %s", change.text)
+cluster.agents[3]:thaw()
+await_in_force(change.json.revision)
 -- Every accepted change is in the audit trail exactly once, in order, and no
 -- refused one is.
 local trail = operator(entries[1], "GET", "/v1/audit").json.records
