Count the pause in agent_frozen and drop results of a replaced agent

agent_frozen passed with the check of the pause off, because the agent's silence and the expired announcement stop the starts in its sockets as well. The random property did not meet a late result with the number of a new start; a directed test does.

--- a/tests/entry/dispatcher_property_test.cc
+++ b/tests/entry/dispatcher_property_test.cc
@@ -226,7 +226,34 @@
   RC_TAG(std::to_string(run.completed / 10) + "x jobs complete");
 }
 
-// The same for a strategy that queues at the agents.
+// Guards against a result of a replaced agent that is taken for the start with
+// the same number in its successor's session.
+TEST(dispatcher_test, DropsResultsOfAReplacedAgent) {
+  fake_cluster cluster;
+  fake_agent& agent = cluster.AddAgent("dc1");
+  cluster.ChangeConfig({});
+  agent.Connect(cluster.entry);
+  cluster.Advance(seconds(1));
+  cluster.Submit(fake_cluster::Job(1, seconds(20)));
+  cluster.entry.Flush();
+  agent.DeliverBatch();
+  agent.Execute();
+  agent.Finish(task_outcome::kSucceeded);
+  agent.Restart();
+  agent.Connect(cluster.entry);
+  const job_id next = cluster.Submit(fake_cluster::Job(1, seconds(20)));
+  cluster.entry.Flush();
+  agent.ReportLate(cluster.entry);
+  EXPECT_FALSE(cluster.decisions.contains(next));
+  agent.DeliverBatch();
+  agent.Execute();
+  agent.Finish(task_outcome::kSucceeded);
+  agent.Report(cluster.entry, true);
+  ASSERT_TRUE(cluster.decisions.contains(next));
+  EXPECT_TRUE(cluster.decisions[next].front().outcome.has_value());
+}
+
+// The same property for a strategy that queues at the agents.
 RC_GTEST_PROP(dispatcher_property,
               KeepsItsGuaranteesWhenBoundEarly,
               (std::uint64_t seed)) {
--- a/tests/scenario/agent_frozen.lua
+++ b/tests/scenario/agent_frozen.lua
@@ -31,6 +31,11 @@
   end
 end)
 expect(submit(entry, { tasks = 2 }).await().status == 200, "no work after the thaw")
+-- Its silence and the expired announcement stop the starts in its sockets, too,
+-- so the count shows that the check of the pause works by itself.
+local metrics = request("GET", cluster.agents[1].http, "/metrics").await().text
+expect(tonumber(metrics:match("\njayrill_agent_pauses_total (%d+)") or 0) > 0,
+  "the agent has not noticed its pause: %s", metrics)
 expect_no_task_twice(cluster.backends)
 for n, answer in ipairs(before) do
   expect_true_outcome(cluster.backends, answer, 4, "f" .. n)
