--- a/tests/scenario/waves.lua
+++ b/tests/scenario/waves.lua
@@ -36,21 +36,3 @@
 end)
 local run = total_executions(backends) - before
 expect(run < callers * 4 / 2, "%d of %d tasks ran for callers that had left", run, callers * 4)
-
--- Starts that wait at an agent are withdrawn there. One long task a slot keeps
--- the slots busy, so each further start has to wait.
-local entry = entries[1]
-before = total_executions(backends)
-local long = submit(entry, { tasks = slots, work_ms = 4000, tag = "long", kind = "long" })
-eventually("all slots are busy", function() return total_executions(backends) - before == slots end)
-local waiting = {}
-for n = 1, 20 do waiting[n] = submit(entries[n % 3 + 1], { tasks = 4, tag = "wait" }) end
-eventually("starts wait at the agents", function()
-  for _, agent in ipairs(status_of(entry).agents) do
-    if agent.queued > 0 then return true end
-  end
-end, 3500)
-for _, job in ipairs(waiting) do job.abort() end
-expect_whole(long.await(), slots, "long")
-host.run(300)
-expect(runs_of(backends, "wait") == 0, "%d withdrawn tasks ran", runs_of(backends, "wait"))
