--- a/tests/scenario/scenario_host.h
+++ b/tests/scenario/scenario_host.h
@@ -51,6 +51,9 @@
   /// \returns what the process has printed so far.
   QString Output(int id);
 
+  /// \returns the number of the process \p id at the kernel.
+  qint64 Pid(int id) const { return processes_.at(id).handle->processId(); }
+
   /// \returns what the process \p id uses.
   process_usage Usage(int id) const;
 
--- a/tests/scenario/scenario_runner.cc
+++ b/tests/scenario/scenario_runner.cc
@@ -90,6 +90,11 @@
   return 3;
 }
 
+int Pid(lua_State* lua) {
+  lua_pushinteger(lua, Host(lua).Pid(IdArgument(lua)));
+  return 1;
+}
+
 int Request(lua_State* lua) {
   std::map<QByteArray, QByteArray> headers;
   const QJsonObject fields = ToJson(lua, 3).toObject();
@@ -209,6 +214,7 @@
     {"exit_code", ExitCode},
     {"output", Output},
     {"usage", Usage},
+    {"pid", Pid},
     {"request", Request},
     {"answer", Answer},
     {"abort", Abort},
