--- a/bench/capacity.lua
+++ b/bench/capacity.lua
@@ -295,6 +295,15 @@
   measure_load(what .. "rate=800 tasks=400", 800, 400)
 end
 
+-- Single tasks, so that nearly every start and end changes the status, which
+-- each agent reports to all entries.
+function modes.reports()
+  start_all(12, 8)
+  local what = string.format("E=%d N=12 ", #entries)
+  measure_idle(what .. "idle")
+  measure_load(what .. "rate=400 tasks=1", 400, 1)
+end
+
 function modes.claims()
   start_all(12, 64)
   measure_load("claims rate=10 tasks=1", 10, 1, 0)
