--- a/bench/capacity.lua
+++ b/bench/capacity.lua
@@ -215,6 +215,7 @@
 -- What a run of `jayrill load` costs above `idle`, per start and per job.
 local function measure_load(what, starts_per_s, tasks, share)
   local at_entries, at_agents = sample_all(entries), sample_all(agents)
+  local idle_entries = { table.unpack(entries, 2) }
   local calls, reports = store_counters(), metric_sum(agents, "jayrill_agent_reports_total")
   local messages = metric_sum(entries, "jayrill_messages_total")
   local starts = metric_sum(entries, "jayrill_starts_total")
@@ -233,6 +234,9 @@
   failed = metric_sum(entries, "jayrill_jobs_failed_total") - failed
   row(what .. " entry", entry)
   row(what .. " agent", agent)
+  if #entries > 1 then
+    row(what .. " other entries", rates({ table.unpack(at_entries, 2) }, sample_all(idle_entries)))
+  end
   print(string.format("  starts=%d starts/s=%.0f jobs=%d failed=%d entry_us/start=%.1f agent_us/start=%.1f (idle included) messages/start=%.2f reports/start=%.2f entry_read_B/start=%.0f entry_written_B/start=%.0f",
     starts, starts / seconds, whole, failed, entry.cpu_us * seconds / starts,
     agent.cpu_us * seconds * #agents / starts,
@@ -304,6 +308,17 @@
   measure_load(what .. "rate=400 tasks=1", 400, 1)
 end
 
+-- The whole configuration is pushed with every change, so its size counts.
+function modes.teams()
+  start_all(24, 8)
+  for number = 1, 210 do
+    operator(entries[1], "PUT", "/v1/teams/team" .. number, { max_running = 100, reason = "capacity" })
+  end
+  print("configuration: " .. #operator(entries[1], "GET", "/v1/config").text .. " B")
+  host.run(2000)
+  measure_change("N=24, 210 teams,", 1)
+end
+
 function modes.claims()
   start_all(12, 64)
   measure_load("claims rate=10 tasks=1", 10, 1, 0)
