Check for a stop after the dispatcher's queue is drained

dispatch_service_test.TellsEveryCallerWhenItStops hung once under load. The cause is in the product: the dispatcher thread checked for the stop before it drained its queue. When Stop came between the two, draining consumed the event that was to wake the thread, and it waited for ever. The work queue itself was ruled out: each item posted to an empty queue makes the descriptor readable after the item is in place.

The check now follows the draining. A test stops the service at many points of its loop.

--- a/src/jayrill/entry/dispatch_service.cc
+++ b/src/jayrill/entry/dispatch_service.cc
@@ -99,11 +99,16 @@
   kj::UnixEventPort::FdObserver observer(
       io.unixEventPort, queue_.event_fd(),
       kj::UnixEventPort::FdObserver::OBSERVE_READ);
-  while (!stopping_) {
+  while (true) {
     // Observing starts before the queue is drained, so that nothing that is
     // posted in between is missed.
     auto readable = observer.whenBecomesReadable();
     queue_.Drain();
+    // Checked after the queue is drained: draining also consumes the event
+    // with which Stop wakes this thread, and no other event follows it.
+    if (stopping_) {
+      break;
+    }
     server.ScheduleFlush();
     readable.wait(io.waitScope);
   }
--- a/tests/entry/dispatch_service_test.cc
+++ b/tests/entry/dispatch_service_test.cc
@@ -137,5 +137,21 @@
   EXPECT_EQ(outcome_->error().effect, job_effect::kNotRun);
 }
 
+// Guards against a stop that the thread misses: the call that wakes it can be
+// consumed while the thread is between two waits. The calls before each stop
+// keep the thread there, and their number moves the stop through the loop.
+TEST_F(dispatch_service_test, StopsAtAnyPointOfTheLoop) {
+  for (int round = 0; round < 200; ++round) {
+    dispatch_service service(Settings(), time_);
+    ASSERT_TRUE(service.Start().has_value());
+    std::atomic<int> answered = 0;
+    for (int call = 0; call < round; ++call) {
+      service.GetStatus([&answered](const dispatch_status&) { ++answered; });
+    }
+    service.Stop();
+    ASSERT_EQ(answered, round);
+  }
+}
+
 }  // namespace
 }  // namespace jayrill
