Take the results out of the fake agent before it reports them

The address sanitizer reported a use after free in dispatcher_property.KeepsItsGuaranteesWhenBoundEarly. The fault is in the test: the fake agent passed its list of results by reference, and the dispatcher cancelled a start during the call, which added to that list. The product passes a list of its own. Results that are added during an acknowledged report are now kept instead of dropped.

--- a/tests/entry/fake_agent.h
+++ b/tests/entry/fake_agent.h
@@ -165,10 +165,13 @@
     }
     hello_.status.busy = static_cast<std::uint32_t>(running_.size());
     hello_.status.queued = static_cast<std::uint32_t>(queue_.size());
-    if (entry.OnReport(connection_->agent, connection_->connection, results_,
-                       hello_.status) &&
-        acknowledged) {
-      results_.clear();
+    // Taken out first: the entry may cancel starts in the call, which adds
+    // results.
+    const auto reported = std::exchange(results_, {});
+    const bool accepted = entry.OnReport(
+        connection_->agent, connection_->connection, reported, hello_.status);
+    if (!accepted || !acknowledged) {
+      results_.insert(results_.begin(), reported.begin(), reported.end());
     }
   }
 
