--- a/src/jayrill/rpc/dispatch.capnp.h
+++ b/src/jayrill/rpc/dispatch.capnp.h
@@ -10,10 +10,10 @@
 #endif  // !CAPNP_LITE
 
 #if CAPNP_VERSION != 9002
-#error \
-    "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
+#error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
+
 CAPNP_BEGIN_HEADER
 
 namespace capnp {
@@ -45,7 +45,7 @@
 CAPNP_DECLARE_SCHEMA(86a0811cd61eaef6);
 CAPNP_DECLARE_SCHEMA(82db2e55169b57c3);
 CAPNP_DECLARE_SCHEMA(963246573de25a1d);
-enum class TaskOutcome_963246573de25a1d : uint16_t {
+enum class TaskOutcome_963246573de25a1d: uint16_t {
   SUCCEEDED,
   FAILED,
   NOT_RUN,
@@ -54,7 +54,7 @@
 CAPNP_DECLARE_ENUM(TaskOutcome, 963246573de25a1d);
 CAPNP_DECLARE_SCHEMA(9d3a090755e74696);
 CAPNP_DECLARE_SCHEMA(da2e727229e455cb);
-enum class NotRunReason_da2e727229e455cb : uint16_t {
+enum class NotRunReason_da2e727229e455cb: uint16_t {
   NONE,
   STALE_CONFIG,
   DATA_CENTRE_OUT,
@@ -90,14 +90,12 @@
   struct ConnectParams;
   struct ConnectResults;
 
-#if !CAPNP_LITE
+  #if !CAPNP_LITE
   struct _capnpPrivate {
     CAPNP_DECLARE_INTERFACE_HEADER(dc1c7453cafd6918)
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
   };
-#endif  // !CAPNP_LITE
+  #endif  // !CAPNP_LITE
 };
 
 struct EntryPort::IdentifyParams {
@@ -109,11 +107,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(b13ad9b2bb793ff1, 0, 0)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -126,11 +122,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(d5b40fe2f3b1a7d2, 0, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -143,11 +137,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(9e119ec98c19110f, 0, 2)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -160,11 +152,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(9edc7194b5d7ea16, 0, 2)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -181,14 +171,12 @@
   struct GoodbyeParams;
   struct GoodbyeResults;
 
-#if !CAPNP_LITE
+  #if !CAPNP_LITE
   struct _capnpPrivate {
     CAPNP_DECLARE_INTERFACE_HEADER(d3cb969ae04bf6ea)
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
   };
-#endif  // !CAPNP_LITE
+  #endif  // !CAPNP_LITE
 };
 
 struct EntrySession::ReportParams {
@@ -200,11 +188,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(b0763949a59c1414, 0, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -217,11 +203,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(fc5523bf8835d071, 0, 0)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -234,11 +218,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(d1ccc322cbc9ee6f, 0, 0)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -251,11 +233,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(e3a9197494696112, 0, 0)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -276,14 +256,12 @@
   struct HeartbeatParams;
   struct HeartbeatResults;
 
-#if !CAPNP_LITE
+  #if !CAPNP_LITE
   struct _capnpPrivate {
     CAPNP_DECLARE_INTERFACE_HEADER(d6ae5786b37a6f63)
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
   };
-#endif  // !CAPNP_LITE
+  #endif  // !CAPNP_LITE
 };
 
 struct AgentPort::StartParams {
@@ -295,11 +273,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(f49df78eba246220, 0, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -312,11 +288,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(da3125e8a75ec48f, 0, 0)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -329,11 +303,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(a610992d4bdf119f, 0, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -346,11 +318,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(a7f4e92dc166cff8, 0, 0)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -363,11 +333,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(adad89a87e2ed5bf, 0, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -380,11 +348,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(f4ecee692687f4aa, 1, 0)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -397,11 +363,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(97eab9dc73cdc2f1, 0, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -414,11 +378,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(b63c9bae561c11a9, 0, 0)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -431,11 +393,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(85c717e449848bd8, 2, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -448,11 +408,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(fcc843daa4888adb, 4, 6)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -465,11 +423,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(9314e51a09c847cb, 1, 2)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -482,11 +438,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(8d4c5b8618b3f790, 1, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -499,11 +453,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(86a0811cd61eaef6, 2, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -516,11 +468,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(82db2e55169b57c3, 5, 3)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -535,11 +485,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(9d3a090755e74696, 4, 2)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -554,11 +502,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(f9f29e2b788cb5a1, 6, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -571,29 +517,26 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(afe8b594b97d90a7, 0, 3)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
 // =======================================================================================
 
 #if !CAPNP_LITE
-class EntryPort::Client : public virtual ::capnp::Capability::Client {
- public:
+class EntryPort::Client
+    : public virtual ::capnp::Capability::Client {
+public:
   typedef EntryPort Calls;
   typedef EntryPort Reads;
 
   Client(decltype(nullptr));
-  explicit Client(::kj::Own<::capnp::ClientHook>&& hook);
-  template <typename _t,
-            typename = ::kj::EnableIf<::kj::canConvert<_t*, Server*>()>>
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
   Client(::kj::Own<_t>&& server);
-  template <typename _t,
-            typename = ::kj::EnableIf<::kj::canConvert<_t*, Client*>()>>
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
   Client(::kj::Promise<_t>&& promise);
   Client(::kj::Exception&& exception);
   Client(Client&) = default;
@@ -601,54 +544,52 @@
   Client& operator=(Client& other);
   Client& operator=(Client&& other);
 
-  ::capnp::Request<::jayrill::wire::EntryPort::IdentifyParams,
-                   ::jayrill::wire::EntryPort::IdentifyResults>
-  identifyRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request<::jayrill::wire::EntryPort::ConnectParams,
-                   ::jayrill::wire::EntryPort::ConnectResults>
-  connectRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::jayrill::wire::EntryPort::IdentifyParams,  ::jayrill::wire::EntryPort::IdentifyResults> identifyRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::jayrill::wire::EntryPort::ConnectParams,  ::jayrill::wire::EntryPort::ConnectResults> connectRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
- protected:
+protected:
   Client() = default;
 };
 
-class EntryPort::Server : public virtual ::capnp::Capability::Server {
- public:
+class EntryPort::Server
+    : public virtual ::capnp::Capability::Server {
+public:
   typedef EntryPort Serves;
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId,
-      uint16_t methodId,
-      ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
       override;
 
- protected:
-  typedef ::jayrill::wire::EntryPort::IdentifyParams IdentifyParams;
-  typedef ::jayrill::wire::EntryPort::IdentifyResults IdentifyResults;
+protected:
+  typedef  ::jayrill::wire::EntryPort::IdentifyParams IdentifyParams;
+  typedef  ::jayrill::wire::EntryPort::IdentifyResults IdentifyResults;
   typedef ::capnp::CallContext<IdentifyParams, IdentifyResults> IdentifyContext;
   virtual ::kj::Promise<void> identify(IdentifyContext context);
-  typedef ::jayrill::wire::EntryPort::ConnectParams ConnectParams;
-  typedef ::jayrill::wire::EntryPort::ConnectResults ConnectResults;
+  typedef  ::jayrill::wire::EntryPort::ConnectParams ConnectParams;
+  typedef  ::jayrill::wire::EntryPort::ConnectResults ConnectResults;
   typedef ::capnp::CallContext<ConnectParams, ConnectResults> ConnectContext;
   virtual ::kj::Promise<void> connect(ConnectContext context);
 
-  inline ::jayrill::wire::EntryPort::Client thisCap() {
+  inline  ::jayrill::wire::EntryPort::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
-        .template castAs<::jayrill::wire::EntryPort>();
+        .template castAs< ::jayrill::wire::EntryPort>();
   }
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
       uint16_t methodId,
-      ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context);
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
 };
 #endif  // !CAPNP_LITE
 
 class EntryPort::IdentifyParams::Reader {
- public:
+public:
   typedef IdentifyParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -660,7 +601,7 @@
   }
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -673,26 +614,22 @@
 };
 
 class EntryPort::IdentifyParams::Builder {
- public:
+public:
   typedef IdentifyParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -703,14 +640,14 @@
 
 #if !CAPNP_LITE
 class EntryPort::IdentifyParams::Pipeline {
- public:
+public:
   typedef IdentifyParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -719,11 +656,11 @@
 #endif  // !CAPNP_LITE
 
 class EntryPort::IdentifyResults::Reader {
- public:
+public:
   typedef IdentifyResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -736,9 +673,9 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasEntry() const;
-  inline ::jayrill::wire::EntryIdentity::Reader getEntry() const;
+  inline  ::jayrill::wire::EntryIdentity::Reader getEntry() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -751,34 +688,29 @@
 };
 
 class EntryPort::IdentifyResults::Builder {
- public:
+public:
   typedef IdentifyResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasEntry();
-  inline ::jayrill::wire::EntryIdentity::Builder getEntry();
-  inline void setEntry(::jayrill::wire::EntryIdentity::Reader value);
-  inline ::jayrill::wire::EntryIdentity::Builder initEntry();
-  inline void adoptEntry(
-      ::capnp::Orphan<::jayrill::wire::EntryIdentity>&& value);
-  inline ::capnp::Orphan<::jayrill::wire::EntryIdentity> disownEntry();
-
- private:
+  inline  ::jayrill::wire::EntryIdentity::Builder getEntry();
+  inline void setEntry( ::jayrill::wire::EntryIdentity::Reader value);
+  inline  ::jayrill::wire::EntryIdentity::Builder initEntry();
+  inline void adoptEntry(::capnp::Orphan< ::jayrill::wire::EntryIdentity>&& value);
+  inline ::capnp::Orphan< ::jayrill::wire::EntryIdentity> disownEntry();
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -789,16 +721,15 @@
 
 #if !CAPNP_LITE
 class EntryPort::IdentifyResults::Pipeline {
- public:
+public:
   typedef IdentifyResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::jayrill::wire::EntryIdentity::Pipeline getEntry();
-
- private:
+  inline  ::jayrill::wire::EntryIdentity::Pipeline getEntry();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -807,11 +738,11 @@
 #endif  // !CAPNP_LITE
 
 class EntryPort::ConnectParams::Reader {
- public:
+public:
   typedef ConnectParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -824,14 +755,14 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasHello() const;
-  inline ::jayrill::wire::AgentHello::Reader getHello() const;
+  inline  ::jayrill::wire::AgentHello::Reader getHello() const;
 
   inline bool hasAgent() const;
 #if !CAPNP_LITE
-  inline ::jayrill::wire::AgentPort::Client getAgent() const;
+  inline  ::jayrill::wire::AgentPort::Client getAgent() const;
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -844,42 +775,38 @@
 };
 
 class EntryPort::ConnectParams::Builder {
- public:
+public:
   typedef ConnectParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasHello();
-  inline ::jayrill::wire::AgentHello::Builder getHello();
-  inline void setHello(::jayrill::wire::AgentHello::Reader value);
-  inline ::jayrill::wire::AgentHello::Builder initHello();
-  inline void adoptHello(::capnp::Orphan<::jayrill::wire::AgentHello>&& value);
-  inline ::capnp::Orphan<::jayrill::wire::AgentHello> disownHello();
+  inline  ::jayrill::wire::AgentHello::Builder getHello();
+  inline void setHello( ::jayrill::wire::AgentHello::Reader value);
+  inline  ::jayrill::wire::AgentHello::Builder initHello();
+  inline void adoptHello(::capnp::Orphan< ::jayrill::wire::AgentHello>&& value);
+  inline ::capnp::Orphan< ::jayrill::wire::AgentHello> disownHello();
 
   inline bool hasAgent();
 #if !CAPNP_LITE
-  inline ::jayrill::wire::AgentPort::Client getAgent();
-  inline void setAgent(::jayrill::wire::AgentPort::Client&& value);
-  inline void setAgent(::jayrill::wire::AgentPort::Client& value);
-  inline void adoptAgent(::capnp::Orphan<::jayrill::wire::AgentPort>&& value);
-  inline ::capnp::Orphan<::jayrill::wire::AgentPort> disownAgent();
+  inline  ::jayrill::wire::AgentPort::Client getAgent();
+  inline void setAgent( ::jayrill::wire::AgentPort::Client&& value);
+  inline void setAgent( ::jayrill::wire::AgentPort::Client& value);
+  inline void adoptAgent(::capnp::Orphan< ::jayrill::wire::AgentPort>&& value);
+  inline ::capnp::Orphan< ::jayrill::wire::AgentPort> disownAgent();
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -890,17 +817,16 @@
 
 #if !CAPNP_LITE
 class EntryPort::ConnectParams::Pipeline {
- public:
+public:
   typedef ConnectParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::jayrill::wire::AgentHello::Pipeline getHello();
-  inline ::jayrill::wire::AgentPort::Client getAgent();
-
- private:
+  inline  ::jayrill::wire::AgentHello::Pipeline getHello();
+  inline  ::jayrill::wire::AgentPort::Client getAgent();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -909,11 +835,11 @@
 #endif  // !CAPNP_LITE
 
 class EntryPort::ConnectResults::Reader {
- public:
+public:
   typedef ConnectResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -926,14 +852,14 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasWelcome() const;
-  inline ::jayrill::wire::EntryWelcome::Reader getWelcome() const;
+  inline  ::jayrill::wire::EntryWelcome::Reader getWelcome() const;
 
   inline bool hasSession() const;
 #if !CAPNP_LITE
-  inline ::jayrill::wire::EntrySession::Client getSession() const;
+  inline  ::jayrill::wire::EntrySession::Client getSession() const;
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -946,44 +872,38 @@
 };
 
 class EntryPort::ConnectResults::Builder {
- public:
+public:
   typedef ConnectResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasWelcome();
-  inline ::jayrill::wire::EntryWelcome::Builder getWelcome();
-  inline void setWelcome(::jayrill::wire::EntryWelcome::Reader value);
-  inline ::jayrill::wire::EntryWelcome::Builder initWelcome();
-  inline void adoptWelcome(
-      ::capnp::Orphan<::jayrill::wire::EntryWelcome>&& value);
-  inline ::capnp::Orphan<::jayrill::wire::EntryWelcome> disownWelcome();
+  inline  ::jayrill::wire::EntryWelcome::Builder getWelcome();
+  inline void setWelcome( ::jayrill::wire::EntryWelcome::Reader value);
+  inline  ::jayrill::wire::EntryWelcome::Builder initWelcome();
+  inline void adoptWelcome(::capnp::Orphan< ::jayrill::wire::EntryWelcome>&& value);
+  inline ::capnp::Orphan< ::jayrill::wire::EntryWelcome> disownWelcome();
 
   inline bool hasSession();
 #if !CAPNP_LITE
-  inline ::jayrill::wire::EntrySession::Client getSession();
-  inline void setSession(::jayrill::wire::EntrySession::Client&& value);
-  inline void setSession(::jayrill::wire::EntrySession::Client& value);
-  inline void adoptSession(
-      ::capnp::Orphan<::jayrill::wire::EntrySession>&& value);
-  inline ::capnp::Orphan<::jayrill::wire::EntrySession> disownSession();
+  inline  ::jayrill::wire::EntrySession::Client getSession();
+  inline void setSession( ::jayrill::wire::EntrySession::Client&& value);
+  inline void setSession( ::jayrill::wire::EntrySession::Client& value);
+  inline void adoptSession(::capnp::Orphan< ::jayrill::wire::EntrySession>&& value);
+  inline ::capnp::Orphan< ::jayrill::wire::EntrySession> disownSession();
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -994,17 +914,16 @@
 
 #if !CAPNP_LITE
 class EntryPort::ConnectResults::Pipeline {
- public:
+public:
   typedef ConnectResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::jayrill::wire::EntryWelcome::Pipeline getWelcome();
-  inline ::jayrill::wire::EntrySession::Client getSession();
-
- private:
+  inline  ::jayrill::wire::EntryWelcome::Pipeline getWelcome();
+  inline  ::jayrill::wire::EntrySession::Client getSession();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1013,18 +932,17 @@
 #endif  // !CAPNP_LITE
 
 #if !CAPNP_LITE
-class EntrySession::Client : public virtual ::capnp::Capability::Client {
- public:
+class EntrySession::Client
+    : public virtual ::capnp::Capability::Client {
+public:
   typedef EntrySession Calls;
   typedef EntrySession Reads;
 
   Client(decltype(nullptr));
-  explicit Client(::kj::Own<::capnp::ClientHook>&& hook);
-  template <typename _t,
-            typename = ::kj::EnableIf<::kj::canConvert<_t*, Server*>()>>
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
   Client(::kj::Own<_t>&& server);
-  template <typename _t,
-            typename = ::kj::EnableIf<::kj::canConvert<_t*, Client*>()>>
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
   Client(::kj::Promise<_t>&& promise);
   Client(::kj::Exception&& exception);
   Client(Client&) = default;
@@ -1032,54 +950,52 @@
   Client& operator=(Client& other);
   Client& operator=(Client&& other);
 
-  ::capnp::Request<::jayrill::wire::EntrySession::ReportParams,
-                   ::jayrill::wire::EntrySession::ReportResults>
-  reportRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request<::jayrill::wire::EntrySession::GoodbyeParams,
-                   ::jayrill::wire::EntrySession::GoodbyeResults>
-  goodbyeRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::jayrill::wire::EntrySession::ReportParams,  ::jayrill::wire::EntrySession::ReportResults> reportRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::jayrill::wire::EntrySession::GoodbyeParams,  ::jayrill::wire::EntrySession::GoodbyeResults> goodbyeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
- protected:
+protected:
   Client() = default;
 };
 
-class EntrySession::Server : public virtual ::capnp::Capability::Server {
- public:
+class EntrySession::Server
+    : public virtual ::capnp::Capability::Server {
+public:
   typedef EntrySession Serves;
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId,
-      uint16_t methodId,
-      ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
       override;
 
- protected:
-  typedef ::jayrill::wire::EntrySession::ReportParams ReportParams;
-  typedef ::jayrill::wire::EntrySession::ReportResults ReportResults;
+protected:
+  typedef  ::jayrill::wire::EntrySession::ReportParams ReportParams;
+  typedef  ::jayrill::wire::EntrySession::ReportResults ReportResults;
   typedef ::capnp::CallContext<ReportParams, ReportResults> ReportContext;
   virtual ::kj::Promise<void> report(ReportContext context);
-  typedef ::jayrill::wire::EntrySession::GoodbyeParams GoodbyeParams;
-  typedef ::jayrill::wire::EntrySession::GoodbyeResults GoodbyeResults;
+  typedef  ::jayrill::wire::EntrySession::GoodbyeParams GoodbyeParams;
+  typedef  ::jayrill::wire::EntrySession::GoodbyeResults GoodbyeResults;
   typedef ::capnp::CallContext<GoodbyeParams, GoodbyeResults> GoodbyeContext;
   virtual ::kj::Promise<void> goodbye(GoodbyeContext context);
 
-  inline ::jayrill::wire::EntrySession::Client thisCap() {
+  inline  ::jayrill::wire::EntrySession::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
-        .template castAs<::jayrill::wire::EntrySession>();
+        .template castAs< ::jayrill::wire::EntrySession>();
   }
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
       uint16_t methodId,
-      ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context);
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
 };
 #endif  // !CAPNP_LITE
 
 class EntrySession::ReportParams::Reader {
- public:
+public:
   typedef ReportParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1092,9 +1008,9 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasReport() const;
-  inline ::jayrill::wire::AgentReport::Reader getReport() const;
+  inline  ::jayrill::wire::AgentReport::Reader getReport() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1107,34 +1023,29 @@
 };
 
 class EntrySession::ReportParams::Builder {
- public:
+public:
   typedef ReportParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasReport();
-  inline ::jayrill::wire::AgentReport::Builder getReport();
-  inline void setReport(::jayrill::wire::AgentReport::Reader value);
-  inline ::jayrill::wire::AgentReport::Builder initReport();
-  inline void adoptReport(
-      ::capnp::Orphan<::jayrill::wire::AgentReport>&& value);
-  inline ::capnp::Orphan<::jayrill::wire::AgentReport> disownReport();
-
- private:
+  inline  ::jayrill::wire::AgentReport::Builder getReport();
+  inline void setReport( ::jayrill::wire::AgentReport::Reader value);
+  inline  ::jayrill::wire::AgentReport::Builder initReport();
+  inline void adoptReport(::capnp::Orphan< ::jayrill::wire::AgentReport>&& value);
+  inline ::capnp::Orphan< ::jayrill::wire::AgentReport> disownReport();
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1145,16 +1056,15 @@
 
 #if !CAPNP_LITE
 class EntrySession::ReportParams::Pipeline {
- public:
+public:
   typedef ReportParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::jayrill::wire::AgentReport::Pipeline getReport();
-
- private:
+  inline  ::jayrill::wire::AgentReport::Pipeline getReport();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1163,11 +1073,11 @@
 #endif  // !CAPNP_LITE
 
 class EntrySession::ReportResults::Reader {
- public:
+public:
   typedef ReportResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1179,7 +1089,7 @@
   }
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1192,26 +1102,22 @@
 };
 
 class EntrySession::ReportResults::Builder {
- public:
+public:
   typedef ReportResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1222,14 +1128,14 @@
 
 #if !CAPNP_LITE
 class EntrySession::ReportResults::Pipeline {
- public:
+public:
   typedef ReportResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1238,11 +1144,11 @@
 #endif  // !CAPNP_LITE
 
 class EntrySession::GoodbyeParams::Reader {
- public:
+public:
   typedef GoodbyeParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1254,7 +1160,7 @@
   }
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1267,26 +1173,22 @@
 };
 
 class EntrySession::GoodbyeParams::Builder {
- public:
+public:
   typedef GoodbyeParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1297,14 +1199,14 @@
 
 #if !CAPNP_LITE
 class EntrySession::GoodbyeParams::Pipeline {
- public:
+public:
   typedef GoodbyeParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1313,11 +1215,11 @@
 #endif  // !CAPNP_LITE
 
 class EntrySession::GoodbyeResults::Reader {
- public:
+public:
   typedef GoodbyeResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1329,7 +1231,7 @@
   }
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1342,26 +1244,22 @@
 };
 
 class EntrySession::GoodbyeResults::Builder {
- public:
+public:
   typedef GoodbyeResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1372,14 +1270,14 @@
 
 #if !CAPNP_LITE
 class EntrySession::GoodbyeResults::Pipeline {
- public:
+public:
   typedef GoodbyeResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1388,18 +1286,17 @@
 #endif  // !CAPNP_LITE
 
 #if !CAPNP_LITE
-class AgentPort::Client : public virtual ::capnp::Capability::Client {
- public:
+class AgentPort::Client
+    : public virtual ::capnp::Capability::Client {
+public:
   typedef AgentPort Calls;
   typedef AgentPort Reads;
 
   Client(decltype(nullptr));
-  explicit Client(::kj::Own<::capnp::ClientHook>&& hook);
-  template <typename _t,
-            typename = ::kj::EnableIf<::kj::canConvert<_t*, Server*>()>>
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
   Client(::kj::Own<_t>&& server);
-  template <typename _t,
-            typename = ::kj::EnableIf<::kj::canConvert<_t*, Client*>()>>
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
   Client(::kj::Promise<_t>&& promise);
   Client(::kj::Exception&& exception);
   Client(Client&) = default;
@@ -1407,70 +1304,64 @@
   Client& operator=(Client& other);
   Client& operator=(Client&& other);
 
-  ::capnp::Request<::jayrill::wire::AgentPort::StartParams,
-                   ::jayrill::wire::AgentPort::StartResults>
-  startRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request<::jayrill::wire::AgentPort::CancelParams,
-                   ::jayrill::wire::AgentPort::CancelResults>
-  cancelRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request<::jayrill::wire::AgentPort::ConfigureParams,
-                   ::jayrill::wire::AgentPort::ConfigureResults>
-  configureRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request<::jayrill::wire::AgentPort::HeartbeatParams,
-                   ::jayrill::wire::AgentPort::HeartbeatResults>
-  heartbeatRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
-
- protected:
+  ::capnp::Request< ::jayrill::wire::AgentPort::StartParams,  ::jayrill::wire::AgentPort::StartResults> startRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::jayrill::wire::AgentPort::CancelParams,  ::jayrill::wire::AgentPort::CancelResults> cancelRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::jayrill::wire::AgentPort::ConfigureParams,  ::jayrill::wire::AgentPort::ConfigureResults> configureRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::jayrill::wire::AgentPort::HeartbeatParams,  ::jayrill::wire::AgentPort::HeartbeatResults> heartbeatRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
   Client() = default;
 };
 
-class AgentPort::Server : public virtual ::capnp::Capability::Server {
- public:
+class AgentPort::Server
+    : public virtual ::capnp::Capability::Server {
+public:
   typedef AgentPort Serves;
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId,
-      uint16_t methodId,
-      ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
       override;
 
- protected:
-  typedef ::jayrill::wire::AgentPort::StartParams StartParams;
-  typedef ::jayrill::wire::AgentPort::StartResults StartResults;
+protected:
+  typedef  ::jayrill::wire::AgentPort::StartParams StartParams;
+  typedef  ::jayrill::wire::AgentPort::StartResults StartResults;
   typedef ::capnp::CallContext<StartParams, StartResults> StartContext;
   virtual ::kj::Promise<void> start(StartContext context);
-  typedef ::jayrill::wire::AgentPort::CancelParams CancelParams;
-  typedef ::jayrill::wire::AgentPort::CancelResults CancelResults;
+  typedef  ::jayrill::wire::AgentPort::CancelParams CancelParams;
+  typedef  ::jayrill::wire::AgentPort::CancelResults CancelResults;
   typedef ::capnp::CallContext<CancelParams, CancelResults> CancelContext;
   virtual ::kj::Promise<void> cancel(CancelContext context);
-  typedef ::jayrill::wire::AgentPort::ConfigureParams ConfigureParams;
-  typedef ::jayrill::wire::AgentPort::ConfigureResults ConfigureResults;
-  typedef ::capnp::CallContext<ConfigureParams, ConfigureResults>
-      ConfigureContext;
+  typedef  ::jayrill::wire::AgentPort::ConfigureParams ConfigureParams;
+  typedef  ::jayrill::wire::AgentPort::ConfigureResults ConfigureResults;
+  typedef ::capnp::CallContext<ConfigureParams, ConfigureResults> ConfigureContext;
   virtual ::kj::Promise<void> configure(ConfigureContext context);
-  typedef ::jayrill::wire::AgentPort::HeartbeatParams HeartbeatParams;
-  typedef ::jayrill::wire::AgentPort::HeartbeatResults HeartbeatResults;
-  typedef ::capnp::CallContext<HeartbeatParams, HeartbeatResults>
-      HeartbeatContext;
+  typedef  ::jayrill::wire::AgentPort::HeartbeatParams HeartbeatParams;
+  typedef  ::jayrill::wire::AgentPort::HeartbeatResults HeartbeatResults;
+  typedef ::capnp::CallContext<HeartbeatParams, HeartbeatResults> HeartbeatContext;
   virtual ::kj::Promise<void> heartbeat(HeartbeatContext context);
 
-  inline ::jayrill::wire::AgentPort::Client thisCap() {
+  inline  ::jayrill::wire::AgentPort::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
-        .template castAs<::jayrill::wire::AgentPort>();
+        .template castAs< ::jayrill::wire::AgentPort>();
   }
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
       uint16_t methodId,
-      ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context);
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
 };
 #endif  // !CAPNP_LITE
 
 class AgentPort::StartParams::Reader {
- public:
+public:
   typedef StartParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1483,9 +1374,9 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasBatch() const;
-  inline ::jayrill::wire::StartBatch::Reader getBatch() const;
+  inline  ::jayrill::wire::StartBatch::Reader getBatch() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1498,33 +1389,29 @@
 };
 
 class AgentPort::StartParams::Builder {
- public:
+public:
   typedef StartParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasBatch();
-  inline ::jayrill::wire::StartBatch::Builder getBatch();
-  inline void setBatch(::jayrill::wire::StartBatch::Reader value);
-  inline ::jayrill::wire::StartBatch::Builder initBatch();
-  inline void adoptBatch(::capnp::Orphan<::jayrill::wire::StartBatch>&& value);
-  inline ::capnp::Orphan<::jayrill::wire::StartBatch> disownBatch();
+  inline  ::jayrill::wire::StartBatch::Builder getBatch();
+  inline void setBatch( ::jayrill::wire::StartBatch::Reader value);
+  inline  ::jayrill::wire::StartBatch::Builder initBatch();
+  inline void adoptBatch(::capnp::Orphan< ::jayrill::wire::StartBatch>&& value);
+  inline ::capnp::Orphan< ::jayrill::wire::StartBatch> disownBatch();
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1535,16 +1422,15 @@
 
 #if !CAPNP_LITE
 class AgentPort::StartParams::Pipeline {
- public:
+public:
   typedef StartParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::jayrill::wire::StartBatch::Pipeline getBatch();
-
- private:
+  inline  ::jayrill::wire::StartBatch::Pipeline getBatch();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1553,11 +1439,11 @@
 #endif  // !CAPNP_LITE
 
 class AgentPort::StartResults::Reader {
- public:
+public:
   typedef StartResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1569,7 +1455,7 @@
   }
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1582,26 +1468,22 @@
 };
 
 class AgentPort::StartResults::Builder {
- public:
+public:
   typedef StartResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1612,14 +1494,14 @@
 
 #if !CAPNP_LITE
 class AgentPort::StartResults::Pipeline {
- public:
+public:
   typedef StartResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1628,11 +1510,11 @@
 #endif  // !CAPNP_LITE
 
 class AgentPort::CancelParams::Reader {
- public:
+public:
   typedef CancelParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1645,10 +1527,9 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasNumbers() const;
-  inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader
-  getNumbers() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getNumbers() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1661,40 +1542,30 @@
 };
 
 class AgentPort::CancelParams::Builder {
- public:
+public:
   typedef CancelParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasNumbers();
-  inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
-  getNumbers();
-  inline void setNumbers(
-      ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setNumbers(::kj::ArrayPtr<const ::uint64_t> value);
-  inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
-  initNumbers(unsigned int size);
-  inline void adoptNumbers(
-      ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>&&
-          value);
-  inline ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>
-  disownNumbers();
-
- private:
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getNumbers();
+  inline void setNumbers( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setNumbers(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initNumbers(unsigned int size);
+  inline void adoptNumbers(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownNumbers();
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1705,14 +1576,14 @@
 
 #if !CAPNP_LITE
 class AgentPort::CancelParams::Pipeline {
- public:
+public:
   typedef CancelParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1721,11 +1592,11 @@
 #endif  // !CAPNP_LITE
 
 class AgentPort::CancelResults::Reader {
- public:
+public:
   typedef CancelResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1737,7 +1608,7 @@
   }
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1750,26 +1621,22 @@
 };
 
 class AgentPort::CancelResults::Builder {
- public:
+public:
   typedef CancelResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1780,14 +1647,14 @@
 
 #if !CAPNP_LITE
 class AgentPort::CancelResults::Pipeline {
- public:
+public:
   typedef CancelResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1796,11 +1663,11 @@
 #endif  // !CAPNP_LITE
 
 class AgentPort::ConfigureParams::Reader {
- public:
+public:
   typedef ConfigureParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1813,9 +1680,9 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasConfig() const;
-  inline ::jayrill::wire::Config::Reader getConfig() const;
+  inline  ::jayrill::wire::Config::Reader getConfig() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1828,33 +1695,29 @@
 };
 
 class AgentPort::ConfigureParams::Builder {
- public:
+public:
   typedef ConfigureParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasConfig();
-  inline ::jayrill::wire::Config::Builder getConfig();
-  inline void setConfig(::jayrill::wire::Config::Reader value);
-  inline ::jayrill::wire::Config::Builder initConfig();
-  inline void adoptConfig(::capnp::Orphan<::jayrill::wire::Config>&& value);
-  inline ::capnp::Orphan<::jayrill::wire::Config> disownConfig();
+  inline  ::jayrill::wire::Config::Builder getConfig();
+  inline void setConfig( ::jayrill::wire::Config::Reader value);
+  inline  ::jayrill::wire::Config::Builder initConfig();
+  inline void adoptConfig(::capnp::Orphan< ::jayrill::wire::Config>&& value);
+  inline ::capnp::Orphan< ::jayrill::wire::Config> disownConfig();
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1865,16 +1728,15 @@
 
 #if !CAPNP_LITE
 class AgentPort::ConfigureParams::Pipeline {
- public:
+public:
   typedef ConfigureParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::jayrill::wire::Config::Pipeline getConfig();
-
- private:
+  inline  ::jayrill::wire::Config::Pipeline getConfig();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1883,11 +1745,11 @@
 #endif  // !CAPNP_LITE
 
 class AgentPort::ConfigureResults::Reader {
- public:
+public:
   typedef ConfigureResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1899,9 +1761,9 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getRevision() const;
+  inline  ::uint64_t getRevision() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1914,29 +1776,25 @@
 };
 
 class AgentPort::ConfigureResults::Builder {
- public:
+public:
   typedef ConfigureResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getRevision();
-  inline void setRevision(::uint64_t value);
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1947,14 +1805,14 @@
 
 #if !CAPNP_LITE
 class AgentPort::ConfigureResults::Pipeline {
- public:
+public:
   typedef ConfigureResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1963,11 +1821,11 @@
 #endif  // !CAPNP_LITE
 
 class AgentPort::HeartbeatParams::Reader {
- public:
+public:
   typedef HeartbeatParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1980,10 +1838,9 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasEntries() const;
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getEntries()
-      const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getEntries() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1996,40 +1853,30 @@
 };
 
 class AgentPort::HeartbeatParams::Builder {
- public:
+public:
   typedef HeartbeatParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasEntries();
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-  getEntries();
-  inline void setEntries(
-      ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
-  inline void setEntries(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder initEntries(
-      unsigned int size);
-  inline void adoptEntries(
-      ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&&
-          value);
-  inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-  disownEntries();
-
- private:
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getEntries();
+  inline void setEntries( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setEntries(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initEntries(unsigned int size);
+  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownEntries();
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2040,14 +1887,14 @@
 
 #if !CAPNP_LITE
 class AgentPort::HeartbeatParams::Pipeline {
- public:
+public:
   typedef HeartbeatParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2056,11 +1903,11 @@
 #endif  // !CAPNP_LITE
 
 class AgentPort::HeartbeatResults::Reader {
- public:
+public:
   typedef HeartbeatResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -2072,7 +1919,7 @@
   }
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2085,26 +1932,22 @@
 };
 
 class AgentPort::HeartbeatResults::Builder {
- public:
+public:
   typedef HeartbeatResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2115,14 +1958,14 @@
 
 #if !CAPNP_LITE
 class AgentPort::HeartbeatResults::Pipeline {
- public:
+public:
   typedef HeartbeatResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2131,11 +1974,11 @@
 #endif  // !CAPNP_LITE
 
 class EntryIdentity::Reader {
- public:
+public:
   typedef EntryIdentity Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -2148,13 +1991,13 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasId() const;
-  inline ::capnp::Text::Reader getId() const;
+  inline  ::capnp::Text::Reader getId() const;
 
-  inline ::uint64_t getIncarnation() const;
+  inline  ::uint64_t getIncarnation() const;
 
-  inline ::uint32_t getProtocolVersion() const;
+  inline  ::uint32_t getProtocolVersion() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2167,39 +2010,35 @@
 };
 
 class EntryIdentity::Builder {
- public:
+public:
   typedef EntryIdentity Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasId();
-  inline ::capnp::Text::Builder getId();
-  inline void setId(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initId(unsigned int size);
-  inline void adoptId(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
 
-  inline ::uint64_t getIncarnation();
-  inline void setIncarnation(::uint64_t value);
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
 
-  inline ::uint32_t getProtocolVersion();
-  inline void setProtocolVersion(::uint32_t value);
+  inline  ::uint32_t getProtocolVersion();
+  inline void setProtocolVersion( ::uint32_t value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2210,14 +2049,14 @@
 
 #if !CAPNP_LITE
 class EntryIdentity::Pipeline {
- public:
+public:
   typedef EntryIdentity Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2226,11 +2065,11 @@
 #endif  // !CAPNP_LITE
 
 class AgentHello::Reader {
- public:
+public:
   typedef AgentHello Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -2242,33 +2081,33 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint32_t getProtocolVersion() const;
+  inline  ::uint32_t getProtocolVersion() const;
 
   inline bool hasAgentId() const;
-  inline ::capnp::Text::Reader getAgentId() const;
+  inline  ::capnp::Text::Reader getAgentId() const;
 
-  inline ::uint64_t getIncarnation() const;
+  inline  ::uint64_t getIncarnation() const;
 
   inline bool hasDataCentre() const;
-  inline ::capnp::Text::Reader getDataCentre() const;
+  inline  ::capnp::Text::Reader getDataCentre() const;
 
   inline bool hasWorker() const;
-  inline ::capnp::Text::Reader getWorker() const;
+  inline  ::capnp::Text::Reader getWorker() const;
 
   inline bool hasRack() const;
-  inline ::capnp::Text::Reader getRack() const;
+  inline  ::capnp::Text::Reader getRack() const;
 
-  inline ::uint64_t getEpoch() const;
+  inline  ::uint64_t getEpoch() const;
 
-  inline ::uint64_t getLastAccepted() const;
+  inline  ::uint64_t getLastAccepted() const;
 
   inline bool hasConfig() const;
-  inline ::jayrill::wire::Config::Reader getConfig() const;
+  inline  ::jayrill::wire::Config::Reader getConfig() const;
 
   inline bool hasStatus() const;
-  inline ::jayrill::wire::MinionStatus::Reader getStatus() const;
+  inline  ::jayrill::wire::MinionStatus::Reader getStatus() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2281,81 +2120,76 @@
 };
 
 class AgentHello::Builder {
- public:
+public:
   typedef AgentHello Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint32_t getProtocolVersion();
-  inline void setProtocolVersion(::uint32_t value);
+  inline  ::uint32_t getProtocolVersion();
+  inline void setProtocolVersion( ::uint32_t value);
 
   inline bool hasAgentId();
-  inline ::capnp::Text::Builder getAgentId();
-  inline void setAgentId(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initAgentId(unsigned int size);
-  inline void adoptAgentId(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownAgentId();
+  inline  ::capnp::Text::Builder getAgentId();
+  inline void setAgentId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAgentId(unsigned int size);
+  inline void adoptAgentId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAgentId();
 
-  inline ::uint64_t getIncarnation();
-  inline void setIncarnation(::uint64_t value);
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
 
   inline bool hasDataCentre();
-  inline ::capnp::Text::Builder getDataCentre();
-  inline void setDataCentre(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initDataCentre(unsigned int size);
-  inline void adoptDataCentre(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownDataCentre();
+  inline  ::capnp::Text::Builder getDataCentre();
+  inline void setDataCentre( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
+  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
 
   inline bool hasWorker();
-  inline ::capnp::Text::Builder getWorker();
-  inline void setWorker(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initWorker(unsigned int size);
-  inline void adoptWorker(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownWorker();
+  inline  ::capnp::Text::Builder getWorker();
+  inline void setWorker( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initWorker(unsigned int size);
+  inline void adoptWorker(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownWorker();
 
   inline bool hasRack();
-  inline ::capnp::Text::Builder getRack();
-  inline void setRack(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initRack(unsigned int size);
-  inline void adoptRack(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownRack();
+  inline  ::capnp::Text::Builder getRack();
+  inline void setRack( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRack(unsigned int size);
+  inline void adoptRack(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRack();
 
-  inline ::uint64_t getEpoch();
-  inline void setEpoch(::uint64_t value);
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
 
-  inline ::uint64_t getLastAccepted();
-  inline void setLastAccepted(::uint64_t value);
+  inline  ::uint64_t getLastAccepted();
+  inline void setLastAccepted( ::uint64_t value);
 
   inline bool hasConfig();
-  inline ::jayrill::wire::Config::Builder getConfig();
-  inline void setConfig(::jayrill::wire::Config::Reader value);
-  inline ::jayrill::wire::Config::Builder initConfig();
-  inline void adoptConfig(::capnp::Orphan<::jayrill::wire::Config>&& value);
-  inline ::capnp::Orphan<::jayrill::wire::Config> disownConfig();
+  inline  ::jayrill::wire::Config::Builder getConfig();
+  inline void setConfig( ::jayrill::wire::Config::Reader value);
+  inline  ::jayrill::wire::Config::Builder initConfig();
+  inline void adoptConfig(::capnp::Orphan< ::jayrill::wire::Config>&& value);
+  inline ::capnp::Orphan< ::jayrill::wire::Config> disownConfig();
 
   inline bool hasStatus();
-  inline ::jayrill::wire::MinionStatus::Builder getStatus();
-  inline void setStatus(::jayrill::wire::MinionStatus::Reader value);
-  inline ::jayrill::wire::MinionStatus::Builder initStatus();
-  inline void adoptStatus(
-      ::capnp::Orphan<::jayrill::wire::MinionStatus>&& value);
-  inline ::capnp::Orphan<::jayrill::wire::MinionStatus> disownStatus();
-
- private:
+  inline  ::jayrill::wire::MinionStatus::Builder getStatus();
+  inline void setStatus( ::jayrill::wire::MinionStatus::Reader value);
+  inline  ::jayrill::wire::MinionStatus::Builder initStatus();
+  inline void adoptStatus(::capnp::Orphan< ::jayrill::wire::MinionStatus>&& value);
+  inline ::capnp::Orphan< ::jayrill::wire::MinionStatus> disownStatus();
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2366,17 +2200,16 @@
 
 #if !CAPNP_LITE
 class AgentHello::Pipeline {
- public:
+public:
   typedef AgentHello Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::jayrill::wire::Config::Pipeline getConfig();
-  inline ::jayrill::wire::MinionStatus::Pipeline getStatus();
-
- private:
+  inline  ::jayrill::wire::Config::Pipeline getConfig();
+  inline  ::jayrill::wire::MinionStatus::Pipeline getStatus();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2385,11 +2218,11 @@
 #endif  // !CAPNP_LITE
 
 class EntryWelcome::Reader {
- public:
+public:
   typedef EntryWelcome Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -2402,17 +2235,16 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasConfig() const;
-  inline ::jayrill::wire::Config::Reader getConfig() const;
+  inline  ::jayrill::wire::Config::Reader getConfig() const;
 
   inline bool hasEntries() const;
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getEntries()
-      const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getEntries() const;
 
-  inline ::uint32_t getHeartbeatMs() const;
+  inline  ::uint32_t getHeartbeatMs() const;
 
   inline bool getResumed() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2425,53 +2257,43 @@
 };
 
 class EntryWelcome::Builder {
- public:
+public:
   typedef EntryWelcome Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasConfig();
-  inline ::jayrill::wire::Config::Builder getConfig();
-  inline void setConfig(::jayrill::wire::Config::Reader value);
-  inline ::jayrill::wire::Config::Builder initConfig();
-  inline void adoptConfig(::capnp::Orphan<::jayrill::wire::Config>&& value);
-  inline ::capnp::Orphan<::jayrill::wire::Config> disownConfig();
+  inline  ::jayrill::wire::Config::Builder getConfig();
+  inline void setConfig( ::jayrill::wire::Config::Reader value);
+  inline  ::jayrill::wire::Config::Builder initConfig();
+  inline void adoptConfig(::capnp::Orphan< ::jayrill::wire::Config>&& value);
+  inline ::capnp::Orphan< ::jayrill::wire::Config> disownConfig();
 
   inline bool hasEntries();
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-  getEntries();
-  inline void setEntries(
-      ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
-  inline void setEntries(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder initEntries(
-      unsigned int size);
-  inline void adoptEntries(
-      ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&&
-          value);
-  inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-  disownEntries();
-
-  inline ::uint32_t getHeartbeatMs();
-  inline void setHeartbeatMs(::uint32_t value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getEntries();
+  inline void setEntries( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setEntries(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initEntries(unsigned int size);
+  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownEntries();
+
+  inline  ::uint32_t getHeartbeatMs();
+  inline void setHeartbeatMs( ::uint32_t value);
 
   inline bool getResumed();
   inline void setResumed(bool value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2482,16 +2304,15 @@
 
 #if !CAPNP_LITE
 class EntryWelcome::Pipeline {
- public:
+public:
   typedef EntryWelcome Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::jayrill::wire::Config::Pipeline getConfig();
-
- private:
+  inline  ::jayrill::wire::Config::Pipeline getConfig();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2500,11 +2321,11 @@
 #endif  // !CAPNP_LITE
 
 class Config::Reader {
- public:
+public:
   typedef Config Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -2516,12 +2337,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getRevision() const;
+  inline  ::uint64_t getRevision() const;
 
   inline bool hasJson() const;
-  inline ::capnp::Data::Reader getJson() const;
+  inline  ::capnp::Data::Reader getJson() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2534,36 +2355,32 @@
 };
 
 class Config::Builder {
- public:
+public:
   typedef Config Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getRevision();
-  inline void setRevision(::uint64_t value);
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
 
   inline bool hasJson();
-  inline ::capnp::Data::Builder getJson();
-  inline void setJson(::capnp::Data::Reader value);
-  inline ::capnp::Data::Builder initJson(unsigned int size);
-  inline void adoptJson(::capnp::Orphan<::capnp::Data>&& value);
-  inline ::capnp::Orphan<::capnp::Data> disownJson();
+  inline  ::capnp::Data::Builder getJson();
+  inline void setJson( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initJson(unsigned int size);
+  inline void adoptJson(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownJson();
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2574,14 +2391,14 @@
 
 #if !CAPNP_LITE
 class Config::Pipeline {
- public:
+public:
   typedef Config Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2590,11 +2407,11 @@
 #endif  // !CAPNP_LITE
 
 class StartBatch::Reader {
- public:
+public:
   typedef StartBatch Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -2606,15 +2423,14 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getRevision() const;
+  inline  ::uint64_t getRevision() const;
 
-  inline ::uint64_t getEpoch() const;
+  inline  ::uint64_t getEpoch() const;
 
   inline bool hasStarts() const;
-  inline ::capnp::List<::jayrill::wire::Start, ::capnp::Kind::STRUCT>::Reader
-  getStarts() const;
+  inline  ::capnp::List< ::jayrill::wire::Start,  ::capnp::Kind::STRUCT>::Reader getStarts() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2627,46 +2443,35 @@
 };
 
 class StartBatch::Builder {
- public:
+public:
   typedef StartBatch Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getRevision();
-  inline void setRevision(::uint64_t value);
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
 
-  inline ::uint64_t getEpoch();
-  inline void setEpoch(::uint64_t value);
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
 
   inline bool hasStarts();
-  inline ::capnp::List<::jayrill::wire::Start, ::capnp::Kind::STRUCT>::Builder
-  getStarts();
-  inline void setStarts(::capnp::List<::jayrill::wire::Start,
-                                      ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::jayrill::wire::Start, ::capnp::Kind::STRUCT>::Builder
-  initStarts(unsigned int size);
-  inline void adoptStarts(
-      ::capnp::Orphan<::capnp::List<::jayrill::wire::Start,
-                                    ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<
-      ::capnp::List<::jayrill::wire::Start, ::capnp::Kind::STRUCT>>
-  disownStarts();
-
- private:
+  inline  ::capnp::List< ::jayrill::wire::Start,  ::capnp::Kind::STRUCT>::Builder getStarts();
+  inline void setStarts( ::capnp::List< ::jayrill::wire::Start,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::jayrill::wire::Start,  ::capnp::Kind::STRUCT>::Builder initStarts(unsigned int size);
+  inline void adoptStarts(::capnp::Orphan< ::capnp::List< ::jayrill::wire::Start,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::jayrill::wire::Start,  ::capnp::Kind::STRUCT>> disownStarts();
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2677,14 +2482,14 @@
 
 #if !CAPNP_LITE
 class StartBatch::Pipeline {
- public:
+public:
   typedef StartBatch Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2693,11 +2498,11 @@
 #endif  // !CAPNP_LITE
 
 class Start::Reader {
- public:
+public:
   typedef Start Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -2709,28 +2514,28 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getNumber() const;
+  inline  ::uint64_t getNumber() const;
 
-  inline ::uint64_t getJobEntry() const;
+  inline  ::uint64_t getJobEntry() const;
 
-  inline ::uint64_t getJobSequence() const;
+  inline  ::uint64_t getJobSequence() const;
 
-  inline ::uint32_t getTaskIndex() const;
+  inline  ::uint32_t getTaskIndex() const;
 
   inline bool hasService() const;
-  inline ::capnp::Text::Reader getService() const;
+  inline  ::capnp::Text::Reader getService() const;
 
   inline bool hasKind() const;
-  inline ::capnp::Text::Reader getKind() const;
+  inline  ::capnp::Text::Reader getKind() const;
 
   inline bool hasPayload() const;
-  inline ::capnp::Data::Reader getPayload() const;
+  inline  ::capnp::Data::Reader getPayload() const;
 
-  inline ::uint32_t getRemainingMs() const;
+  inline  ::uint32_t getRemainingMs() const;
 
   inline double getPriority() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2743,65 +2548,61 @@
 };
 
 class Start::Builder {
- public:
+public:
   typedef Start Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getNumber();
-  inline void setNumber(::uint64_t value);
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
 
-  inline ::uint64_t getJobEntry();
-  inline void setJobEntry(::uint64_t value);
+  inline  ::uint64_t getJobEntry();
+  inline void setJobEntry( ::uint64_t value);
 
-  inline ::uint64_t getJobSequence();
-  inline void setJobSequence(::uint64_t value);
+  inline  ::uint64_t getJobSequence();
+  inline void setJobSequence( ::uint64_t value);
 
-  inline ::uint32_t getTaskIndex();
-  inline void setTaskIndex(::uint32_t value);
+  inline  ::uint32_t getTaskIndex();
+  inline void setTaskIndex( ::uint32_t value);
 
   inline bool hasService();
-  inline ::capnp::Text::Builder getService();
-  inline void setService(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
 
   inline bool hasKind();
-  inline ::capnp::Text::Builder getKind();
-  inline void setKind(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initKind(unsigned int size);
-  inline void adoptKind(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownKind();
+  inline  ::capnp::Text::Builder getKind();
+  inline void setKind( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initKind(unsigned int size);
+  inline void adoptKind(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownKind();
 
   inline bool hasPayload();
-  inline ::capnp::Data::Builder getPayload();
-  inline void setPayload(::capnp::Data::Reader value);
-  inline ::capnp::Data::Builder initPayload(unsigned int size);
-  inline void adoptPayload(::capnp::Orphan<::capnp::Data>&& value);
-  inline ::capnp::Orphan<::capnp::Data> disownPayload();
+  inline  ::capnp::Data::Builder getPayload();
+  inline void setPayload( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initPayload(unsigned int size);
+  inline void adoptPayload(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownPayload();
 
-  inline ::uint32_t getRemainingMs();
-  inline void setRemainingMs(::uint32_t value);
+  inline  ::uint32_t getRemainingMs();
+  inline void setRemainingMs( ::uint32_t value);
 
   inline double getPriority();
   inline void setPriority(double value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2812,14 +2613,14 @@
 
 #if !CAPNP_LITE
 class Start::Pipeline {
- public:
+public:
   typedef Start Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2828,11 +2629,11 @@
 #endif  // !CAPNP_LITE
 
 class TaskResult::Reader {
- public:
+public:
   typedef TaskResult Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -2844,23 +2645,23 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getNumber() const;
+  inline  ::uint64_t getNumber() const;
 
-  inline ::jayrill::wire::TaskOutcome getOutcome() const;
+  inline  ::jayrill::wire::TaskOutcome getOutcome() const;
 
   inline bool hasBody() const;
-  inline ::capnp::Data::Reader getBody() const;
+  inline  ::capnp::Data::Reader getBody() const;
 
   inline bool hasMessage() const;
-  inline ::capnp::Text::Reader getMessage() const;
+  inline  ::capnp::Text::Reader getMessage() const;
 
-  inline ::uint64_t getRunMicros() const;
+  inline  ::uint64_t getRunMicros() const;
 
-  inline ::uint64_t getWaitMicros() const;
+  inline  ::uint64_t getWaitMicros() const;
 
-  inline ::jayrill::wire::NotRunReason getReason() const;
+  inline  ::jayrill::wire::NotRunReason getReason() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2873,55 +2674,51 @@
 };
 
 class TaskResult::Builder {
- public:
+public:
   typedef TaskResult Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getNumber();
-  inline void setNumber(::uint64_t value);
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
 
-  inline ::jayrill::wire::TaskOutcome getOutcome();
-  inline void setOutcome(::jayrill::wire::TaskOutcome value);
+  inline  ::jayrill::wire::TaskOutcome getOutcome();
+  inline void setOutcome( ::jayrill::wire::TaskOutcome value);
 
   inline bool hasBody();
-  inline ::capnp::Data::Builder getBody();
-  inline void setBody(::capnp::Data::Reader value);
-  inline ::capnp::Data::Builder initBody(unsigned int size);
-  inline void adoptBody(::capnp::Orphan<::capnp::Data>&& value);
-  inline ::capnp::Orphan<::capnp::Data> disownBody();
+  inline  ::capnp::Data::Builder getBody();
+  inline void setBody( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBody();
 
   inline bool hasMessage();
-  inline ::capnp::Text::Builder getMessage();
-  inline void setMessage(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initMessage(unsigned int size);
-  inline void adoptMessage(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownMessage();
+  inline  ::capnp::Text::Builder getMessage();
+  inline void setMessage( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initMessage(unsigned int size);
+  inline void adoptMessage(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownMessage();
 
-  inline ::uint64_t getRunMicros();
-  inline void setRunMicros(::uint64_t value);
+  inline  ::uint64_t getRunMicros();
+  inline void setRunMicros( ::uint64_t value);
 
-  inline ::uint64_t getWaitMicros();
-  inline void setWaitMicros(::uint64_t value);
+  inline  ::uint64_t getWaitMicros();
+  inline void setWaitMicros( ::uint64_t value);
 
-  inline ::jayrill::wire::NotRunReason getReason();
-  inline void setReason(::jayrill::wire::NotRunReason value);
+  inline  ::jayrill::wire::NotRunReason getReason();
+  inline void setReason( ::jayrill::wire::NotRunReason value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2932,14 +2729,14 @@
 
 #if !CAPNP_LITE
 class TaskResult::Pipeline {
- public:
+public:
   typedef TaskResult Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2948,11 +2745,11 @@
 #endif  // !CAPNP_LITE
 
 class MinionStatus::Reader {
- public:
+public:
   typedef MinionStatus Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -2965,29 +2762,29 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasService() const;
-  inline ::capnp::Text::Reader getService() const;
+  inline  ::capnp::Text::Reader getService() const;
 
-  inline ::uint32_t getSlots() const;
+  inline  ::uint32_t getSlots() const;
 
-  inline ::uint32_t getConnections() const;
+  inline  ::uint32_t getConnections() const;
 
-  inline ::uint32_t getBusy() const;
+  inline  ::uint32_t getBusy() const;
 
-  inline ::uint32_t getQueued() const;
+  inline  ::uint32_t getQueued() const;
 
   inline bool getDraining() const;
 
-  inline ::uint64_t getConfigRevision() const;
+  inline  ::uint64_t getConfigRevision() const;
 
-  inline ::uint32_t getCores() const;
+  inline  ::uint32_t getCores() const;
 
-  inline ::uint32_t getMemoryMb() const;
+  inline  ::uint32_t getMemoryMb() const;
 
-  inline ::uint32_t getAccelerators() const;
+  inline  ::uint32_t getAccelerators() const;
 
-  inline ::uint64_t getExpectedFreeMicros() const;
+  inline  ::uint64_t getExpectedFreeMicros() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3000,63 +2797,59 @@
 };
 
 class MinionStatus::Builder {
- public:
+public:
   typedef MinionStatus Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasService();
-  inline ::capnp::Text::Builder getService();
-  inline void setService(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
 
-  inline ::uint32_t getSlots();
-  inline void setSlots(::uint32_t value);
+  inline  ::uint32_t getSlots();
+  inline void setSlots( ::uint32_t value);
 
-  inline ::uint32_t getConnections();
-  inline void setConnections(::uint32_t value);
+  inline  ::uint32_t getConnections();
+  inline void setConnections( ::uint32_t value);
 
-  inline ::uint32_t getBusy();
-  inline void setBusy(::uint32_t value);
+  inline  ::uint32_t getBusy();
+  inline void setBusy( ::uint32_t value);
 
-  inline ::uint32_t getQueued();
-  inline void setQueued(::uint32_t value);
+  inline  ::uint32_t getQueued();
+  inline void setQueued( ::uint32_t value);
 
   inline bool getDraining();
   inline void setDraining(bool value);
 
-  inline ::uint64_t getConfigRevision();
-  inline void setConfigRevision(::uint64_t value);
+  inline  ::uint64_t getConfigRevision();
+  inline void setConfigRevision( ::uint64_t value);
 
-  inline ::uint32_t getCores();
-  inline void setCores(::uint32_t value);
+  inline  ::uint32_t getCores();
+  inline void setCores( ::uint32_t value);
 
-  inline ::uint32_t getMemoryMb();
-  inline void setMemoryMb(::uint32_t value);
+  inline  ::uint32_t getMemoryMb();
+  inline void setMemoryMb( ::uint32_t value);
 
-  inline ::uint32_t getAccelerators();
-  inline void setAccelerators(::uint32_t value);
+  inline  ::uint32_t getAccelerators();
+  inline void setAccelerators( ::uint32_t value);
 
-  inline ::uint64_t getExpectedFreeMicros();
-  inline void setExpectedFreeMicros(::uint64_t value);
+  inline  ::uint64_t getExpectedFreeMicros();
+  inline void setExpectedFreeMicros( ::uint64_t value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3067,14 +2860,14 @@
 
 #if !CAPNP_LITE
 class MinionStatus::Pipeline {
- public:
+public:
   typedef MinionStatus Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -3083,11 +2876,11 @@
 #endif  // !CAPNP_LITE
 
 class AgentReport::Reader {
- public:
+public:
   typedef AgentReport Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -3100,17 +2893,15 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasResults() const;
-  inline ::capnp::List<::jayrill::wire::TaskResult,
-                       ::capnp::Kind::STRUCT>::Reader
-  getResults() const;
+  inline  ::capnp::List< ::jayrill::wire::TaskResult,  ::capnp::Kind::STRUCT>::Reader getResults() const;
 
   inline bool hasStatus() const;
-  inline ::jayrill::wire::MinionStatus::Reader getStatus() const;
+  inline  ::jayrill::wire::MinionStatus::Reader getStatus() const;
 
   inline bool hasConfig() const;
-  inline ::jayrill::wire::Config::Reader getConfig() const;
+  inline  ::jayrill::wire::Config::Reader getConfig() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3123,57 +2914,43 @@
 };
 
 class AgentReport::Builder {
- public:
+public:
   typedef AgentReport Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasResults();
-  inline ::capnp::List<::jayrill::wire::TaskResult,
-                       ::capnp::Kind::STRUCT>::Builder
-  getResults();
-  inline void setResults(::capnp::List<::jayrill::wire::TaskResult,
-                                       ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::jayrill::wire::TaskResult,
-                       ::capnp::Kind::STRUCT>::Builder
-  initResults(unsigned int size);
-  inline void adoptResults(
-      ::capnp::Orphan<::capnp::List<::jayrill::wire::TaskResult,
-                                    ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<
-      ::capnp::List<::jayrill::wire::TaskResult, ::capnp::Kind::STRUCT>>
-  disownResults();
+  inline  ::capnp::List< ::jayrill::wire::TaskResult,  ::capnp::Kind::STRUCT>::Builder getResults();
+  inline void setResults( ::capnp::List< ::jayrill::wire::TaskResult,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::jayrill::wire::TaskResult,  ::capnp::Kind::STRUCT>::Builder initResults(unsigned int size);
+  inline void adoptResults(::capnp::Orphan< ::capnp::List< ::jayrill::wire::TaskResult,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::jayrill::wire::TaskResult,  ::capnp::Kind::STRUCT>> disownResults();
 
   inline bool hasStatus();
-  inline ::jayrill::wire::MinionStatus::Builder getStatus();
-  inline void setStatus(::jayrill::wire::MinionStatus::Reader value);
-  inline ::jayrill::wire::MinionStatus::Builder initStatus();
-  inline void adoptStatus(
-      ::capnp::Orphan<::jayrill::wire::MinionStatus>&& value);
-  inline ::capnp::Orphan<::jayrill::wire::MinionStatus> disownStatus();
+  inline  ::jayrill::wire::MinionStatus::Builder getStatus();
+  inline void setStatus( ::jayrill::wire::MinionStatus::Reader value);
+  inline  ::jayrill::wire::MinionStatus::Builder initStatus();
+  inline void adoptStatus(::capnp::Orphan< ::jayrill::wire::MinionStatus>&& value);
+  inline ::capnp::Orphan< ::jayrill::wire::MinionStatus> disownStatus();
 
   inline bool hasConfig();
-  inline ::jayrill::wire::Config::Builder getConfig();
-  inline void setConfig(::jayrill::wire::Config::Reader value);
-  inline ::jayrill::wire::Config::Builder initConfig();
-  inline void adoptConfig(::capnp::Orphan<::jayrill::wire::Config>&& value);
-  inline ::capnp::Orphan<::jayrill::wire::Config> disownConfig();
+  inline  ::jayrill::wire::Config::Builder getConfig();
+  inline void setConfig( ::jayrill::wire::Config::Reader value);
+  inline  ::jayrill::wire::Config::Builder initConfig();
+  inline void adoptConfig(::capnp::Orphan< ::jayrill::wire::Config>&& value);
+  inline ::capnp::Orphan< ::jayrill::wire::Config> disownConfig();
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -3184,17 +2961,16 @@
 
 #if !CAPNP_LITE
 class AgentReport::Pipeline {
- public:
+public:
   typedef AgentReport Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::jayrill::wire::MinionStatus::Pipeline getStatus();
-  inline ::jayrill::wire::Config::Pipeline getConfig();
-
- private:
+  inline  ::jayrill::wire::MinionStatus::Pipeline getStatus();
+  inline  ::jayrill::wire::Config::Pipeline getConfig();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -3207,7 +2983,8 @@
 #if !CAPNP_LITE
 inline EntryPort::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
-inline EntryPort::Client::Client(::kj::Own<::capnp::ClientHook>&& hook)
+inline EntryPort::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
     : ::capnp::Capability::Client(::kj::mv(hook)) {}
 template <typename _t, typename>
 inline EntryPort::Client::Client(::kj::Own<_t>&& server)
@@ -3217,259 +2994,216 @@
     : ::capnp::Capability::Client(::kj::mv(promise)) {}
 inline EntryPort::Client::Client(::kj::Exception&& exception)
     : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline ::jayrill::wire::EntryPort::Client& EntryPort::Client::operator=(
-    Client& other) {
+inline  ::jayrill::wire::EntryPort::Client& EntryPort::Client::operator=(Client& other) {
   ::capnp::Capability::Client::operator=(other);
   return *this;
 }
-inline ::jayrill::wire::EntryPort::Client& EntryPort::Client::operator=(
-    Client&& other) {
+inline  ::jayrill::wire::EntryPort::Client& EntryPort::Client::operator=(Client&& other) {
   ::capnp::Capability::Client::operator=(kj::mv(other));
   return *this;
 }
 
 #endif  // !CAPNP_LITE
 inline bool EntryPort::IdentifyResults::Reader::hasEntry() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool EntryPort::IdentifyResults::Builder::hasEntry() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::jayrill::wire::EntryIdentity::Reader
-EntryPort::IdentifyResults::Reader::getEntry() const {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::EntryIdentity>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::jayrill::wire::EntryIdentity::Reader EntryPort::IdentifyResults::Reader::getEntry() const {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::EntryIdentity>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::jayrill::wire::EntryIdentity::Builder
-EntryPort::IdentifyResults::Builder::getEntry() {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::EntryIdentity>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::jayrill::wire::EntryIdentity::Builder EntryPort::IdentifyResults::Builder::getEntry() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::EntryIdentity>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::jayrill::wire::EntryIdentity::Pipeline
-EntryPort::IdentifyResults::Pipeline::getEntry() {
-  return ::jayrill::wire::EntryIdentity::Pipeline(_typeless.getPointerField(0));
+inline  ::jayrill::wire::EntryIdentity::Pipeline EntryPort::IdentifyResults::Pipeline::getEntry() {
+  return  ::jayrill::wire::EntryIdentity::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void EntryPort::IdentifyResults::Builder::setEntry(
-    ::jayrill::wire::EntryIdentity::Reader value) {
-  ::capnp::_::PointerHelpers<::jayrill::wire::EntryIdentity>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void EntryPort::IdentifyResults::Builder::setEntry( ::jayrill::wire::EntryIdentity::Reader value) {
+  ::capnp::_::PointerHelpers< ::jayrill::wire::EntryIdentity>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::jayrill::wire::EntryIdentity::Builder
-EntryPort::IdentifyResults::Builder::initEntry() {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::EntryIdentity>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::jayrill::wire::EntryIdentity::Builder EntryPort::IdentifyResults::Builder::initEntry() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::EntryIdentity>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void EntryPort::IdentifyResults::Builder::adoptEntry(
-    ::capnp::Orphan<::jayrill::wire::EntryIdentity>&& value) {
-  ::capnp::_::PointerHelpers<::jayrill::wire::EntryIdentity>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::jayrill::wire::EntryIdentity>&& value) {
+  ::capnp::_::PointerHelpers< ::jayrill::wire::EntryIdentity>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::jayrill::wire::EntryIdentity>
-EntryPort::IdentifyResults::Builder::disownEntry() {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::EntryIdentity>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::jayrill::wire::EntryIdentity> EntryPort::IdentifyResults::Builder::disownEntry() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::EntryIdentity>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool EntryPort::ConnectParams::Reader::hasHello() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool EntryPort::ConnectParams::Builder::hasHello() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::jayrill::wire::AgentHello::Reader
-EntryPort::ConnectParams::Reader::getHello() const {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::AgentHello>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::jayrill::wire::AgentHello::Reader EntryPort::ConnectParams::Reader::getHello() const {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::AgentHello>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::jayrill::wire::AgentHello::Builder
-EntryPort::ConnectParams::Builder::getHello() {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::AgentHello>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::jayrill::wire::AgentHello::Builder EntryPort::ConnectParams::Builder::getHello() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::AgentHello>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::jayrill::wire::AgentHello::Pipeline
-EntryPort::ConnectParams::Pipeline::getHello() {
-  return ::jayrill::wire::AgentHello::Pipeline(_typeless.getPointerField(0));
+inline  ::jayrill::wire::AgentHello::Pipeline EntryPort::ConnectParams::Pipeline::getHello() {
+  return  ::jayrill::wire::AgentHello::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void EntryPort::ConnectParams::Builder::setHello(
-    ::jayrill::wire::AgentHello::Reader value) {
-  ::capnp::_::PointerHelpers<::jayrill::wire::AgentHello>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void EntryPort::ConnectParams::Builder::setHello( ::jayrill::wire::AgentHello::Reader value) {
+  ::capnp::_::PointerHelpers< ::jayrill::wire::AgentHello>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::jayrill::wire::AgentHello::Builder
-EntryPort::ConnectParams::Builder::initHello() {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::AgentHello>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::jayrill::wire::AgentHello::Builder EntryPort::ConnectParams::Builder::initHello() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::AgentHello>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void EntryPort::ConnectParams::Builder::adoptHello(
-    ::capnp::Orphan<::jayrill::wire::AgentHello>&& value) {
-  ::capnp::_::PointerHelpers<::jayrill::wire::AgentHello>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::jayrill::wire::AgentHello>&& value) {
+  ::capnp::_::PointerHelpers< ::jayrill::wire::AgentHello>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::jayrill::wire::AgentHello>
-EntryPort::ConnectParams::Builder::disownHello() {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::AgentHello>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::jayrill::wire::AgentHello> EntryPort::ConnectParams::Builder::disownHello() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::AgentHello>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool EntryPort::ConnectParams::Reader::hasAgent() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool EntryPort::ConnectParams::Builder::hasAgent() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 #if !CAPNP_LITE
-inline ::jayrill::wire::AgentPort::Client
-EntryPort::ConnectParams::Reader::getAgent() const {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::AgentPort>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline ::jayrill::wire::AgentPort::Client
-EntryPort::ConnectParams::Builder::getAgent() {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::AgentPort>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline ::jayrill::wire::AgentPort::Client
-EntryPort::ConnectParams::Pipeline::getAgent() {
-  return ::jayrill::wire::AgentPort::Client(
-      _typeless.getPointerField(1).asCap());
-}
-inline void EntryPort::ConnectParams::Builder::setAgent(
-    ::jayrill::wire::AgentPort::Client&& cap) {
-  ::capnp::_::PointerHelpers<::jayrill::wire::AgentPort>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(cap));
-}
-inline void EntryPort::ConnectParams::Builder::setAgent(
-    ::jayrill::wire::AgentPort::Client& cap) {
-  ::capnp::_::PointerHelpers<::jayrill::wire::AgentPort>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), cap);
+inline  ::jayrill::wire::AgentPort::Client EntryPort::ConnectParams::Reader::getAgent() const {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::AgentPort>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::jayrill::wire::AgentPort::Client EntryPort::ConnectParams::Builder::getAgent() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::AgentPort>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::jayrill::wire::AgentPort::Client EntryPort::ConnectParams::Pipeline::getAgent() {
+  return  ::jayrill::wire::AgentPort::Client(_typeless.getPointerField(1).asCap());
+}
+inline void EntryPort::ConnectParams::Builder::setAgent( ::jayrill::wire::AgentPort::Client&& cap) {
+  ::capnp::_::PointerHelpers< ::jayrill::wire::AgentPort>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(cap));
+}
+inline void EntryPort::ConnectParams::Builder::setAgent( ::jayrill::wire::AgentPort::Client& cap) {
+  ::capnp::_::PointerHelpers< ::jayrill::wire::AgentPort>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), cap);
 }
 inline void EntryPort::ConnectParams::Builder::adoptAgent(
-    ::capnp::Orphan<::jayrill::wire::AgentPort>&& value) {
-  ::capnp::_::PointerHelpers<::jayrill::wire::AgentPort>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::jayrill::wire::AgentPort>&& value) {
+  ::capnp::_::PointerHelpers< ::jayrill::wire::AgentPort>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::jayrill::wire::AgentPort>
-EntryPort::ConnectParams::Builder::disownAgent() {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::AgentPort>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::jayrill::wire::AgentPort> EntryPort::ConnectParams::Builder::disownAgent() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::AgentPort>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #endif  // !CAPNP_LITE
 
 inline bool EntryPort::ConnectResults::Reader::hasWelcome() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool EntryPort::ConnectResults::Builder::hasWelcome() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::jayrill::wire::EntryWelcome::Reader
-EntryPort::ConnectResults::Reader::getWelcome() const {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::EntryWelcome>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::jayrill::wire::EntryWelcome::Reader EntryPort::ConnectResults::Reader::getWelcome() const {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::EntryWelcome>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::jayrill::wire::EntryWelcome::Builder
-EntryPort::ConnectResults::Builder::getWelcome() {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::EntryWelcome>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::jayrill::wire::EntryWelcome::Builder EntryPort::ConnectResults::Builder::getWelcome() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::EntryWelcome>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::jayrill::wire::EntryWelcome::Pipeline
-EntryPort::ConnectResults::Pipeline::getWelcome() {
-  return ::jayrill::wire::EntryWelcome::Pipeline(_typeless.getPointerField(0));
+inline  ::jayrill::wire::EntryWelcome::Pipeline EntryPort::ConnectResults::Pipeline::getWelcome() {
+  return  ::jayrill::wire::EntryWelcome::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void EntryPort::ConnectResults::Builder::setWelcome(
-    ::jayrill::wire::EntryWelcome::Reader value) {
-  ::capnp::_::PointerHelpers<::jayrill::wire::EntryWelcome>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void EntryPort::ConnectResults::Builder::setWelcome( ::jayrill::wire::EntryWelcome::Reader value) {
+  ::capnp::_::PointerHelpers< ::jayrill::wire::EntryWelcome>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::jayrill::wire::EntryWelcome::Builder
-EntryPort::ConnectResults::Builder::initWelcome() {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::EntryWelcome>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::jayrill::wire::EntryWelcome::Builder EntryPort::ConnectResults::Builder::initWelcome() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::EntryWelcome>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void EntryPort::ConnectResults::Builder::adoptWelcome(
-    ::capnp::Orphan<::jayrill::wire::EntryWelcome>&& value) {
-  ::capnp::_::PointerHelpers<::jayrill::wire::EntryWelcome>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::jayrill::wire::EntryWelcome>&& value) {
+  ::capnp::_::PointerHelpers< ::jayrill::wire::EntryWelcome>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::jayrill::wire::EntryWelcome>
-EntryPort::ConnectResults::Builder::disownWelcome() {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::EntryWelcome>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::jayrill::wire::EntryWelcome> EntryPort::ConnectResults::Builder::disownWelcome() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::EntryWelcome>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool EntryPort::ConnectResults::Reader::hasSession() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool EntryPort::ConnectResults::Builder::hasSession() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 #if !CAPNP_LITE
-inline ::jayrill::wire::EntrySession::Client
-EntryPort::ConnectResults::Reader::getSession() const {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::EntrySession>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline ::jayrill::wire::EntrySession::Client
-EntryPort::ConnectResults::Builder::getSession() {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::EntrySession>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline ::jayrill::wire::EntrySession::Client
-EntryPort::ConnectResults::Pipeline::getSession() {
-  return ::jayrill::wire::EntrySession::Client(
-      _typeless.getPointerField(1).asCap());
-}
-inline void EntryPort::ConnectResults::Builder::setSession(
-    ::jayrill::wire::EntrySession::Client&& cap) {
-  ::capnp::_::PointerHelpers<::jayrill::wire::EntrySession>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(cap));
-}
-inline void EntryPort::ConnectResults::Builder::setSession(
-    ::jayrill::wire::EntrySession::Client& cap) {
-  ::capnp::_::PointerHelpers<::jayrill::wire::EntrySession>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), cap);
+inline  ::jayrill::wire::EntrySession::Client EntryPort::ConnectResults::Reader::getSession() const {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::EntrySession>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::jayrill::wire::EntrySession::Client EntryPort::ConnectResults::Builder::getSession() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::EntrySession>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::jayrill::wire::EntrySession::Client EntryPort::ConnectResults::Pipeline::getSession() {
+  return  ::jayrill::wire::EntrySession::Client(_typeless.getPointerField(1).asCap());
+}
+inline void EntryPort::ConnectResults::Builder::setSession( ::jayrill::wire::EntrySession::Client&& cap) {
+  ::capnp::_::PointerHelpers< ::jayrill::wire::EntrySession>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(cap));
+}
+inline void EntryPort::ConnectResults::Builder::setSession( ::jayrill::wire::EntrySession::Client& cap) {
+  ::capnp::_::PointerHelpers< ::jayrill::wire::EntrySession>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), cap);
 }
 inline void EntryPort::ConnectResults::Builder::adoptSession(
-    ::capnp::Orphan<::jayrill::wire::EntrySession>&& value) {
-  ::capnp::_::PointerHelpers<::jayrill::wire::EntrySession>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::jayrill::wire::EntrySession>&& value) {
+  ::capnp::_::PointerHelpers< ::jayrill::wire::EntrySession>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::jayrill::wire::EntrySession>
-EntryPort::ConnectResults::Builder::disownSession() {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::EntrySession>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::jayrill::wire::EntrySession> EntryPort::ConnectResults::Builder::disownSession() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::EntrySession>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #endif  // !CAPNP_LITE
 
 #if !CAPNP_LITE
 inline EntrySession::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
-inline EntrySession::Client::Client(::kj::Own<::capnp::ClientHook>&& hook)
+inline EntrySession::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
     : ::capnp::Capability::Client(::kj::mv(hook)) {}
 template <typename _t, typename>
 inline EntrySession::Client::Client(::kj::Own<_t>&& server)
@@ -3479,69 +3213,60 @@
     : ::capnp::Capability::Client(::kj::mv(promise)) {}
 inline EntrySession::Client::Client(::kj::Exception&& exception)
     : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline ::jayrill::wire::EntrySession::Client& EntrySession::Client::operator=(
-    Client& other) {
+inline  ::jayrill::wire::EntrySession::Client& EntrySession::Client::operator=(Client& other) {
   ::capnp::Capability::Client::operator=(other);
   return *this;
 }
-inline ::jayrill::wire::EntrySession::Client& EntrySession::Client::operator=(
-    Client&& other) {
+inline  ::jayrill::wire::EntrySession::Client& EntrySession::Client::operator=(Client&& other) {
   ::capnp::Capability::Client::operator=(kj::mv(other));
   return *this;
 }
 
 #endif  // !CAPNP_LITE
 inline bool EntrySession::ReportParams::Reader::hasReport() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool EntrySession::ReportParams::Builder::hasReport() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::jayrill::wire::AgentReport::Reader
-EntrySession::ReportParams::Reader::getReport() const {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::AgentReport>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::jayrill::wire::AgentReport::Reader EntrySession::ReportParams::Reader::getReport() const {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::AgentReport>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::jayrill::wire::AgentReport::Builder
-EntrySession::ReportParams::Builder::getReport() {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::AgentReport>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::jayrill::wire::AgentReport::Builder EntrySession::ReportParams::Builder::getReport() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::AgentReport>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::jayrill::wire::AgentReport::Pipeline
-EntrySession::ReportParams::Pipeline::getReport() {
-  return ::jayrill::wire::AgentReport::Pipeline(_typeless.getPointerField(0));
+inline  ::jayrill::wire::AgentReport::Pipeline EntrySession::ReportParams::Pipeline::getReport() {
+  return  ::jayrill::wire::AgentReport::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void EntrySession::ReportParams::Builder::setReport(
-    ::jayrill::wire::AgentReport::Reader value) {
-  ::capnp::_::PointerHelpers<::jayrill::wire::AgentReport>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void EntrySession::ReportParams::Builder::setReport( ::jayrill::wire::AgentReport::Reader value) {
+  ::capnp::_::PointerHelpers< ::jayrill::wire::AgentReport>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::jayrill::wire::AgentReport::Builder
-EntrySession::ReportParams::Builder::initReport() {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::AgentReport>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::jayrill::wire::AgentReport::Builder EntrySession::ReportParams::Builder::initReport() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::AgentReport>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void EntrySession::ReportParams::Builder::adoptReport(
-    ::capnp::Orphan<::jayrill::wire::AgentReport>&& value) {
-  ::capnp::_::PointerHelpers<::jayrill::wire::AgentReport>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::jayrill::wire::AgentReport>&& value) {
+  ::capnp::_::PointerHelpers< ::jayrill::wire::AgentReport>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::jayrill::wire::AgentReport>
-EntrySession::ReportParams::Builder::disownReport() {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::AgentReport>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::jayrill::wire::AgentReport> EntrySession::ReportParams::Builder::disownReport() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::AgentReport>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 #if !CAPNP_LITE
 inline AgentPort::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
-inline AgentPort::Client::Client(::kj::Own<::capnp::ClientHook>&& hook)
+inline AgentPort::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
     : ::capnp::Capability::Client(::kj::mv(hook)) {}
 template <typename _t, typename>
 inline AgentPort::Client::Client(::kj::Own<_t>&& server)
