@@ -3551,1522 +3276,1343 @@
     : ::capnp::Capability::Client(::kj::mv(promise)) {}
 inline AgentPort::Client::Client(::kj::Exception&& exception)
     : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline ::jayrill::wire::AgentPort::Client& AgentPort::Client::operator=(
-    Client& other) {
+inline  ::jayrill::wire::AgentPort::Client& AgentPort::Client::operator=(Client& other) {
   ::capnp::Capability::Client::operator=(other);
   return *this;
 }
-inline ::jayrill::wire::AgentPort::Client& AgentPort::Client::operator=(
-    Client&& other) {
+inline  ::jayrill::wire::AgentPort::Client& AgentPort::Client::operator=(Client&& other) {
   ::capnp::Capability::Client::operator=(kj::mv(other));
   return *this;
 }
 
 #endif  // !CAPNP_LITE
 inline bool AgentPort::StartParams::Reader::hasBatch() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool AgentPort::StartParams::Builder::hasBatch() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::jayrill::wire::StartBatch::Reader
-AgentPort::StartParams::Reader::getBatch() const {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::StartBatch>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::jayrill::wire::StartBatch::Reader AgentPort::StartParams::Reader::getBatch() const {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::StartBatch>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::jayrill::wire::StartBatch::Builder
-AgentPort::StartParams::Builder::getBatch() {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::StartBatch>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::jayrill::wire::StartBatch::Builder AgentPort::StartParams::Builder::getBatch() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::StartBatch>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::jayrill::wire::StartBatch::Pipeline
-AgentPort::StartParams::Pipeline::getBatch() {
-  return ::jayrill::wire::StartBatch::Pipeline(_typeless.getPointerField(0));
+inline  ::jayrill::wire::StartBatch::Pipeline AgentPort::StartParams::Pipeline::getBatch() {
+  return  ::jayrill::wire::StartBatch::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void AgentPort::StartParams::Builder::setBatch(
-    ::jayrill::wire::StartBatch::Reader value) {
-  ::capnp::_::PointerHelpers<::jayrill::wire::StartBatch>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void AgentPort::StartParams::Builder::setBatch( ::jayrill::wire::StartBatch::Reader value) {
+  ::capnp::_::PointerHelpers< ::jayrill::wire::StartBatch>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::jayrill::wire::StartBatch::Builder
-AgentPort::StartParams::Builder::initBatch() {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::StartBatch>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::jayrill::wire::StartBatch::Builder AgentPort::StartParams::Builder::initBatch() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::StartBatch>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void AgentPort::StartParams::Builder::adoptBatch(
-    ::capnp::Orphan<::jayrill::wire::StartBatch>&& value) {
-  ::capnp::_::PointerHelpers<::jayrill::wire::StartBatch>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::jayrill::wire::StartBatch>&& value) {
+  ::capnp::_::PointerHelpers< ::jayrill::wire::StartBatch>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::jayrill::wire::StartBatch>
-AgentPort::StartParams::Builder::disownBatch() {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::StartBatch>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::jayrill::wire::StartBatch> AgentPort::StartParams::Builder::disownBatch() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::StartBatch>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool AgentPort::CancelParams::Reader::hasNumbers() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool AgentPort::CancelParams::Builder::hasNumbers() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader
-AgentPort::CancelParams::Reader::getNumbers() const {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::get(
-          _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
-AgentPort::CancelParams::Builder::getNumbers() {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::get(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void AgentPort::CancelParams::Builder::setNumbers(
-    ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::set(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-          value);
-}
-inline void AgentPort::CancelParams::Builder::setNumbers(
-    ::kj::ArrayPtr<const ::uint64_t> value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::set(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder
-AgentPort::CancelParams::Builder::initNumbers(unsigned int size) {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::init(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-          size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader AgentPort::CancelParams::Reader::getNumbers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder AgentPort::CancelParams::Builder::getNumbers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AgentPort::CancelParams::Builder::setNumbers( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void AgentPort::CancelParams::Builder::setNumbers(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder AgentPort::CancelParams::Builder::initNumbers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void AgentPort::CancelParams::Builder::adoptNumbers(
-    ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>&&
-        value) {
-  ::capnp::_::PointerHelpers<
-      ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::
-      adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-            kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>
-AgentPort::CancelParams::Builder::disownNumbers() {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> AgentPort::CancelParams::Builder::disownNumbers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool AgentPort::ConfigureParams::Reader::hasConfig() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool AgentPort::ConfigureParams::Builder::hasConfig() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::jayrill::wire::Config::Reader
-AgentPort::ConfigureParams::Reader::getConfig() const {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::Config>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::jayrill::wire::Config::Reader AgentPort::ConfigureParams::Reader::getConfig() const {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::Config>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::jayrill::wire::Config::Builder
-AgentPort::ConfigureParams::Builder::getConfig() {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::Config>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::jayrill::wire::Config::Builder AgentPort::ConfigureParams::Builder::getConfig() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::Config>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::jayrill::wire::Config::Pipeline
-AgentPort::ConfigureParams::Pipeline::getConfig() {
-  return ::jayrill::wire::Config::Pipeline(_typeless.getPointerField(0));
+inline  ::jayrill::wire::Config::Pipeline AgentPort::ConfigureParams::Pipeline::getConfig() {
+  return  ::jayrill::wire::Config::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void AgentPort::ConfigureParams::Builder::setConfig(
-    ::jayrill::wire::Config::Reader value) {
-  ::capnp::_::PointerHelpers<::jayrill::wire::Config>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void AgentPort::ConfigureParams::Builder::setConfig( ::jayrill::wire::Config::Reader value) {
+  ::capnp::_::PointerHelpers< ::jayrill::wire::Config>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::jayrill::wire::Config::Builder
-AgentPort::ConfigureParams::Builder::initConfig() {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::Config>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::jayrill::wire::Config::Builder AgentPort::ConfigureParams::Builder::initConfig() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::Config>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void AgentPort::ConfigureParams::Builder::adoptConfig(
-    ::capnp::Orphan<::jayrill::wire::Config>&& value) {
-  ::capnp::_::PointerHelpers<::jayrill::wire::Config>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::jayrill::wire::Config>&& value) {
+  ::capnp::_::PointerHelpers< ::jayrill::wire::Config>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::jayrill::wire::Config>
-AgentPort::ConfigureParams::Builder::disownConfig() {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::Config>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::jayrill::wire::Config> AgentPort::ConfigureParams::Builder::disownConfig() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::Config>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t AgentPort::ConfigureResults::Reader::getRevision() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t AgentPort::ConfigureResults::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t AgentPort::ConfigureResults::Builder::getRevision() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t AgentPort::ConfigureResults::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void AgentPort::ConfigureResults::Builder::setRevision(
-    ::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void AgentPort::ConfigureResults::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool AgentPort::HeartbeatParams::Reader::hasEntries() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool AgentPort::HeartbeatParams::Builder::hasEntries() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
-AgentPort::HeartbeatParams::Reader::getEntries() const {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-          _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-AgentPort::HeartbeatParams::Builder::getEntries() {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void AgentPort::HeartbeatParams::Builder::setEntries(
-    ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-          value);
-}
-inline void AgentPort::HeartbeatParams::Builder::setEntries(
-    ::kj::ArrayPtr<const ::capnp::Text::Reader> value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-AgentPort::HeartbeatParams::Builder::initEntries(unsigned int size) {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-          size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader AgentPort::HeartbeatParams::Reader::getEntries() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder AgentPort::HeartbeatParams::Builder::getEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AgentPort::HeartbeatParams::Builder::setEntries( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void AgentPort::HeartbeatParams::Builder::setEntries(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder AgentPort::HeartbeatParams::Builder::initEntries(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void AgentPort::HeartbeatParams::Builder::adoptEntries(
-    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&&
-        value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-          kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-AgentPort::HeartbeatParams::Builder::disownEntries() {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> AgentPort::HeartbeatParams::Builder::disownEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool EntryIdentity::Reader::hasId() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool EntryIdentity::Builder::hasId() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader EntryIdentity::Reader::getId() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader EntryIdentity::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder EntryIdentity::Builder::getId() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder EntryIdentity::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void EntryIdentity::Builder::setId(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void EntryIdentity::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder EntryIdentity::Builder::initId(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder EntryIdentity::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void EntryIdentity::Builder::adoptId(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> EntryIdentity::Builder::disownId() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> EntryIdentity::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t EntryIdentity::Reader::getIncarnation() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t EntryIdentity::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t EntryIdentity::Builder::getIncarnation() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t EntryIdentity::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void EntryIdentity::Builder::setIncarnation(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void EntryIdentity::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t EntryIdentity::Reader::getProtocolVersion() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<2>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint32_t EntryIdentity::Reader::getProtocolVersion() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t EntryIdentity::Builder::getProtocolVersion() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<2>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint32_t EntryIdentity::Builder::getProtocolVersion() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void EntryIdentity::Builder::setProtocolVersion(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
-                                    value);
+inline void EntryIdentity::Builder::setProtocolVersion( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t AgentHello::Reader::getProtocolVersion() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint32_t AgentHello::Reader::getProtocolVersion() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t AgentHello::Builder::getProtocolVersion() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint32_t AgentHello::Builder::getProtocolVersion() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void AgentHello::Builder::setProtocolVersion(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void AgentHello::Builder::setProtocolVersion( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool AgentHello::Reader::hasAgentId() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool AgentHello::Builder::hasAgentId() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader AgentHello::Reader::getAgentId() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader AgentHello::Reader::getAgentId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder AgentHello::Builder::getAgentId() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder AgentHello::Builder::getAgentId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void AgentHello::Builder::setAgentId(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void AgentHello::Builder::setAgentId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder AgentHello::Builder::initAgentId(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder AgentHello::Builder::initAgentId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void AgentHello::Builder::adoptAgentId(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> AgentHello::Builder::disownAgentId() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> AgentHello::Builder::disownAgentId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t AgentHello::Reader::getIncarnation() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t AgentHello::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t AgentHello::Builder::getIncarnation() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t AgentHello::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void AgentHello::Builder::setIncarnation(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                    value);
+inline void AgentHello::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool AgentHello::Reader::hasDataCentre() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool AgentHello::Builder::hasDataCentre() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader AgentHello::Reader::getDataCentre() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader AgentHello::Reader::getDataCentre() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder AgentHello::Builder::getDataCentre() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder AgentHello::Builder::getDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void AgentHello::Builder::setDataCentre(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+inline void AgentHello::Builder::setDataCentre( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder AgentHello::Builder::initDataCentre(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder AgentHello::Builder::initDataCentre(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void AgentHello::Builder::adoptDataCentre(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> AgentHello::Builder::disownDataCentre() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> AgentHello::Builder::disownDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool AgentHello::Reader::hasWorker() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool AgentHello::Builder::hasWorker() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader AgentHello::Reader::getWorker() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader AgentHello::Reader::getWorker() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder AgentHello::Builder::getWorker() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder AgentHello::Builder::getWorker() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void AgentHello::Builder::setWorker(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      value);
+inline void AgentHello::Builder::setWorker( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder AgentHello::Builder::initWorker(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder AgentHello::Builder::initWorker(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void AgentHello::Builder::adoptWorker(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> AgentHello::Builder::disownWorker() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> AgentHello::Builder::disownWorker() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool AgentHello::Reader::hasRack() const {
-  return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline bool AgentHello::Builder::hasRack() {
-  return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader AgentHello::Reader::getRack() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader AgentHello::Reader::getRack() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder AgentHello::Builder::getRack() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder AgentHello::Builder::getRack() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void AgentHello::Builder::setRack(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-      value);
+inline void AgentHello::Builder::setRack( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder AgentHello::Builder::initRack(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder AgentHello::Builder::initRack(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
 inline void AgentHello::Builder::adoptRack(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> AgentHello::Builder::disownRack() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> AgentHello::Builder::disownRack() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t AgentHello::Reader::getEpoch() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t AgentHello::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t AgentHello::Builder::getEpoch() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t AgentHello::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void AgentHello::Builder::setEpoch(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
-                                    value);
+inline void AgentHello::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t AgentHello::Reader::getLastAccepted() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<3>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t AgentHello::Reader::getLastAccepted() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t AgentHello::Builder::getLastAccepted() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<3>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t AgentHello::Builder::getLastAccepted() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void AgentHello::Builder::setLastAccepted(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS,
-                                    value);
+inline void AgentHello::Builder::setLastAccepted( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool AgentHello::Reader::hasConfig() const {
-  return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
 inline bool AgentHello::Builder::hasConfig() {
-  return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline ::jayrill::wire::Config::Reader AgentHello::Reader::getConfig() const {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::Config>::get(
-      _reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::jayrill::wire::Config::Reader AgentHello::Reader::getConfig() const {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::Config>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline ::jayrill::wire::Config::Builder AgentHello::Builder::getConfig() {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::Config>::get(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::jayrill::wire::Config::Builder AgentHello::Builder::getConfig() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::Config>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::jayrill::wire::Config::Pipeline AgentHello::Pipeline::getConfig() {
-  return ::jayrill::wire::Config::Pipeline(_typeless.getPointerField(4));
+inline  ::jayrill::wire::Config::Pipeline AgentHello::Pipeline::getConfig() {
+  return  ::jayrill::wire::Config::Pipeline(_typeless.getPointerField(4));
 }
 #endif  // !CAPNP_LITE
-inline void AgentHello::Builder::setConfig(
-    ::jayrill::wire::Config::Reader value) {
-  ::capnp::_::PointerHelpers<::jayrill::wire::Config>::set(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
-      value);
+inline void AgentHello::Builder::setConfig( ::jayrill::wire::Config::Reader value) {
+  ::capnp::_::PointerHelpers< ::jayrill::wire::Config>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline ::jayrill::wire::Config::Builder AgentHello::Builder::initConfig() {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::Config>::init(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::jayrill::wire::Config::Builder AgentHello::Builder::initConfig() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::Config>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 inline void AgentHello::Builder::adoptConfig(
-    ::capnp::Orphan<::jayrill::wire::Config>&& value) {
-  ::capnp::_::PointerHelpers<::jayrill::wire::Config>::adopt(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::jayrill::wire::Config>&& value) {
+  ::capnp::_::PointerHelpers< ::jayrill::wire::Config>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::jayrill::wire::Config>
-AgentHello::Builder::disownConfig() {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::Config>::disown(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::jayrill::wire::Config> AgentHello::Builder::disownConfig() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::Config>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
 inline bool AgentHello::Reader::hasStatus() const {
-  return !_reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
 inline bool AgentHello::Builder::hasStatus() {
-  return !_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline ::jayrill::wire::MinionStatus::Reader AgentHello::Reader::getStatus()
-    const {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::MinionStatus>::get(
-      _reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::jayrill::wire::MinionStatus::Reader AgentHello::Reader::getStatus() const {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::MinionStatus>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline ::jayrill::wire::MinionStatus::Builder AgentHello::Builder::getStatus() {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::MinionStatus>::get(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::jayrill::wire::MinionStatus::Builder AgentHello::Builder::getStatus() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::MinionStatus>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::jayrill::wire::MinionStatus::Pipeline
-AgentHello::Pipeline::getStatus() {
-  return ::jayrill::wire::MinionStatus::Pipeline(_typeless.getPointerField(5));
+inline  ::jayrill::wire::MinionStatus::Pipeline AgentHello::Pipeline::getStatus() {
+  return  ::jayrill::wire::MinionStatus::Pipeline(_typeless.getPointerField(5));
 }
 #endif  // !CAPNP_LITE
-inline void AgentHello::Builder::setStatus(
-    ::jayrill::wire::MinionStatus::Reader value) {
-  ::capnp::_::PointerHelpers<::jayrill::wire::MinionStatus>::set(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
-      value);
+inline void AgentHello::Builder::setStatus( ::jayrill::wire::MinionStatus::Reader value) {
+  ::capnp::_::PointerHelpers< ::jayrill::wire::MinionStatus>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline ::jayrill::wire::MinionStatus::Builder
-AgentHello::Builder::initStatus() {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::MinionStatus>::init(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::jayrill::wire::MinionStatus::Builder AgentHello::Builder::initStatus() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::MinionStatus>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 inline void AgentHello::Builder::adoptStatus(
-    ::capnp::Orphan<::jayrill::wire::MinionStatus>&& value) {
-  ::capnp::_::PointerHelpers<::jayrill::wire::MinionStatus>::adopt(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::jayrill::wire::MinionStatus>&& value) {
+  ::capnp::_::PointerHelpers< ::jayrill::wire::MinionStatus>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::jayrill::wire::MinionStatus>
-AgentHello::Builder::disownStatus() {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::MinionStatus>::disown(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::jayrill::wire::MinionStatus> AgentHello::Builder::disownStatus() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::MinionStatus>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
 inline bool EntryWelcome::Reader::hasConfig() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool EntryWelcome::Builder::hasConfig() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::jayrill::wire::Config::Reader EntryWelcome::Reader::getConfig() const {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::Config>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::jayrill::wire::Config::Reader EntryWelcome::Reader::getConfig() const {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::Config>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::jayrill::wire::Config::Builder EntryWelcome::Builder::getConfig() {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::Config>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::jayrill::wire::Config::Builder EntryWelcome::Builder::getConfig() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::Config>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::jayrill::wire::Config::Pipeline EntryWelcome::Pipeline::getConfig() {
-  return ::jayrill::wire::Config::Pipeline(_typeless.getPointerField(0));
+inline  ::jayrill::wire::Config::Pipeline EntryWelcome::Pipeline::getConfig() {
+  return  ::jayrill::wire::Config::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void EntryWelcome::Builder::setConfig(
-    ::jayrill::wire::Config::Reader value) {
-  ::capnp::_::PointerHelpers<::jayrill::wire::Config>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void EntryWelcome::Builder::setConfig( ::jayrill::wire::Config::Reader value) {
+  ::capnp::_::PointerHelpers< ::jayrill::wire::Config>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::jayrill::wire::Config::Builder EntryWelcome::Builder::initConfig() {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::Config>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::jayrill::wire::Config::Builder EntryWelcome::Builder::initConfig() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::Config>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void EntryWelcome::Builder::adoptConfig(
-    ::capnp::Orphan<::jayrill::wire::Config>&& value) {
-  ::capnp::_::PointerHelpers<::jayrill::wire::Config>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::jayrill::wire::Config>&& value) {
+  ::capnp::_::PointerHelpers< ::jayrill::wire::Config>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::jayrill::wire::Config>
-EntryWelcome::Builder::disownConfig() {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::Config>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::jayrill::wire::Config> EntryWelcome::Builder::disownConfig() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::Config>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool EntryWelcome::Reader::hasEntries() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool EntryWelcome::Builder::hasEntries() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
-EntryWelcome::Reader::getEntries() const {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-          _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-EntryWelcome::Builder::getEntries() {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void EntryWelcome::Builder::setEntries(
-    ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-          value);
-}
-inline void EntryWelcome::Builder::setEntries(
-    ::kj::ArrayPtr<const ::capnp::Text::Reader> value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-EntryWelcome::Builder::initEntries(unsigned int size) {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
-          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-          size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader EntryWelcome::Reader::getEntries() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder EntryWelcome::Builder::getEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void EntryWelcome::Builder::setEntries( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void EntryWelcome::Builder::setEntries(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder EntryWelcome::Builder::initEntries(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void EntryWelcome::Builder::adoptEntries(
-    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&&
-        value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
-          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-          kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-EntryWelcome::Builder::disownEntries() {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
-          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> EntryWelcome::Builder::disownEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline ::uint32_t EntryWelcome::Reader::getHeartbeatMs() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint32_t EntryWelcome::Reader::getHeartbeatMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t EntryWelcome::Builder::getHeartbeatMs() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint32_t EntryWelcome::Builder::getHeartbeatMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void EntryWelcome::Builder::setHeartbeatMs(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void EntryWelcome::Builder::setHeartbeatMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool EntryWelcome::Reader::getResumed() const {
-  return _reader.getDataField<bool>(::capnp::bounded<32>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
 
 inline bool EntryWelcome::Builder::getResumed() {
-  return _builder.getDataField<bool>(::capnp::bounded<32>() *
-                                     ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
 inline void EntryWelcome::Builder::setResumed(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<32>() * ::capnp::ELEMENTS,
-                              value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t Config::Reader::getRevision() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t Config::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Config::Builder::getRevision() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t Config::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Config::Builder::setRevision(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void Config::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Config::Reader::hasJson() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Config::Builder::hasJson() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Data::Reader Config::Reader::getJson() const {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader Config::Reader::getJson() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder Config::Builder::getJson() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder Config::Builder::getJson() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Config::Builder::setJson(::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void Config::Builder::setJson( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder Config::Builder::initJson(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Data::Builder Config::Builder::initJson(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Config::Builder::adoptJson(::capnp::Orphan<::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+inline void Config::Builder::adoptJson(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data> Config::Builder::disownJson() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> Config::Builder::disownJson() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t StartBatch::Reader::getRevision() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t StartBatch::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t StartBatch::Builder::getRevision() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t StartBatch::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void StartBatch::Builder::setRevision(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void StartBatch::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t StartBatch::Reader::getEpoch() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t StartBatch::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t StartBatch::Builder::getEpoch() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t StartBatch::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void StartBatch::Builder::setEpoch(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                    value);
+inline void StartBatch::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool StartBatch::Reader::hasStarts() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool StartBatch::Builder::hasStarts() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::jayrill::wire::Start, ::capnp::Kind::STRUCT>::Reader
-StartBatch::Reader::getStarts() const {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::jayrill::wire::Start, ::capnp::Kind::STRUCT>>::
-      get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::jayrill::wire::Start, ::capnp::Kind::STRUCT>::Builder
-StartBatch::Builder::getStarts() {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::jayrill::wire::Start, ::capnp::Kind::STRUCT>>::
-      get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void StartBatch::Builder::setStarts(
-    ::capnp::List<::jayrill::wire::Start, ::capnp::Kind::STRUCT>::Reader
-        value) {
-  ::capnp::_::PointerHelpers<
-      ::capnp::List<::jayrill::wire::Start, ::capnp::Kind::STRUCT>>::
-      set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::jayrill::wire::Start, ::capnp::Kind::STRUCT>::Builder
-StartBatch::Builder::initStarts(unsigned int size) {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::jayrill::wire::Start, ::capnp::Kind::STRUCT>>::
-      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-           size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::jayrill::wire::Start,  ::capnp::Kind::STRUCT>::Reader StartBatch::Reader::getStarts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::jayrill::wire::Start,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::jayrill::wire::Start,  ::capnp::Kind::STRUCT>::Builder StartBatch::Builder::getStarts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::jayrill::wire::Start,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StartBatch::Builder::setStarts( ::capnp::List< ::jayrill::wire::Start,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::jayrill::wire::Start,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::jayrill::wire::Start,  ::capnp::Kind::STRUCT>::Builder StartBatch::Builder::initStarts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::jayrill::wire::Start,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void StartBatch::Builder::adoptStarts(
-    ::capnp::Orphan<
-        ::capnp::List<::jayrill::wire::Start, ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers<
-      ::capnp::List<::jayrill::wire::Start, ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-            kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::jayrill::wire::Start,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::jayrill::wire::Start,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<
-    ::capnp::List<::jayrill::wire::Start, ::capnp::Kind::STRUCT>>
-StartBatch::Builder::disownStarts() {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::jayrill::wire::Start, ::capnp::Kind::STRUCT>>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::jayrill::wire::Start,  ::capnp::Kind::STRUCT>> StartBatch::Builder::disownStarts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::jayrill::wire::Start,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t Start::Reader::getNumber() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t Start::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Start::Builder::getNumber() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t Start::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Start::Builder::setNumber(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void Start::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t Start::Reader::getJobEntry() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t Start::Reader::getJobEntry() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Start::Builder::getJobEntry() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t Start::Builder::getJobEntry() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Start::Builder::setJobEntry(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                    value);
+inline void Start::Builder::setJobEntry( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t Start::Reader::getJobSequence() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t Start::Reader::getJobSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Start::Builder::getJobSequence() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t Start::Builder::getJobSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Start::Builder::setJobSequence(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
-                                    value);
+inline void Start::Builder::setJobSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t Start::Reader::getTaskIndex() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<6>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint32_t Start::Reader::getTaskIndex() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t Start::Builder::getTaskIndex() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<6>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint32_t Start::Builder::getTaskIndex() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-inline void Start::Builder::setTaskIndex(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS,
-                                    value);
+inline void Start::Builder::setTaskIndex( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Start::Reader::hasService() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Start::Builder::hasService() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Start::Reader::getService() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Start::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Start::Builder::getService() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Start::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Start::Builder::setService(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void Start::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Start::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder Start::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void Start::Builder::adoptService(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Start::Builder::disownService() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Start::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Start::Reader::hasKind() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool Start::Builder::hasKind() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Start::Reader::getKind() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Start::Reader::getKind() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Start::Builder::getKind() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Start::Builder::getKind() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Start::Builder::setKind(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+inline void Start::Builder::setKind( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Start::Builder::initKind(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder Start::Builder::initKind(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Start::Builder::adoptKind(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+inline void Start::Builder::adoptKind(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Start::Builder::disownKind() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Start::Builder::disownKind() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool Start::Reader::hasPayload() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool Start::Builder::hasPayload() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Data::Reader Start::Reader::getPayload() const {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader Start::Reader::getPayload() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder Start::Builder::getPayload() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder Start::Builder::getPayload() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Start::Builder::setPayload(::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::set(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      value);
+inline void Start::Builder::setPayload( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder Start::Builder::initPayload(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Data::Builder Start::Builder::initPayload(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void Start::Builder::adoptPayload(
-    ::capnp::Orphan<::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data> Start::Builder::disownPayload() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> Start::Builder::disownPayload() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline ::uint32_t Start::Reader::getRemainingMs() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<7>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint32_t Start::Reader::getRemainingMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t Start::Builder::getRemainingMs() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<7>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint32_t Start::Builder::getRemainingMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
-inline void Start::Builder::setRemainingMs(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<7>() * ::capnp::ELEMENTS,
-                                    value);
+inline void Start::Builder::setRemainingMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
 inline double Start::Reader::getPriority() const {
-  return _reader.getDataField<double>(::capnp::bounded<4>() *
-                                      ::capnp::ELEMENTS);
+  return _reader.getDataField<double>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
 inline double Start::Builder::getPriority() {
-  return _builder.getDataField<double>(::capnp::bounded<4>() *
-                                       ::capnp::ELEMENTS);
+  return _builder.getDataField<double>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 inline void Start::Builder::setPriority(double value) {
-  _builder.setDataField<double>(::capnp::bounded<4>() * ::capnp::ELEMENTS,
-                                value);
+  _builder.setDataField<double>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t TaskResult::Reader::getNumber() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t TaskResult::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t TaskResult::Builder::getNumber() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t TaskResult::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void TaskResult::Builder::setNumber(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void TaskResult::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::jayrill::wire::TaskOutcome TaskResult::Reader::getOutcome() const {
-  return _reader.getDataField<::jayrill::wire::TaskOutcome>(
+inline  ::jayrill::wire::TaskOutcome TaskResult::Reader::getOutcome() const {
+  return _reader.getDataField< ::jayrill::wire::TaskOutcome>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline ::jayrill::wire::TaskOutcome TaskResult::Builder::getOutcome() {
-  return _builder.getDataField<::jayrill::wire::TaskOutcome>(
+inline  ::jayrill::wire::TaskOutcome TaskResult::Builder::getOutcome() {
+  return _builder.getDataField< ::jayrill::wire::TaskOutcome>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void TaskResult::Builder::setOutcome(
-    ::jayrill::wire::TaskOutcome value) {
-  _builder.setDataField<::jayrill::wire::TaskOutcome>(
+inline void TaskResult::Builder::setOutcome( ::jayrill::wire::TaskOutcome value) {
+  _builder.setDataField< ::jayrill::wire::TaskOutcome>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool TaskResult::Reader::hasBody() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool TaskResult::Builder::hasBody() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Data::Reader TaskResult::Reader::getBody() const {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader TaskResult::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder TaskResult::Builder::getBody() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder TaskResult::Builder::getBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void TaskResult::Builder::setBody(::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void TaskResult::Builder::setBody( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder TaskResult::Builder::initBody(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Data::Builder TaskResult::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void TaskResult::Builder::adoptBody(
-    ::capnp::Orphan<::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data> TaskResult::Builder::disownBody() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> TaskResult::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool TaskResult::Reader::hasMessage() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool TaskResult::Builder::hasMessage() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader TaskResult::Reader::getMessage() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader TaskResult::Reader::getMessage() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder TaskResult::Builder::getMessage() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder TaskResult::Builder::getMessage() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void TaskResult::Builder::setMessage(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+inline void TaskResult::Builder::setMessage( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder TaskResult::Builder::initMessage(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder TaskResult::Builder::initMessage(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void TaskResult::Builder::adoptMessage(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> TaskResult::Builder::disownMessage() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> TaskResult::Builder::disownMessage() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t TaskResult::Reader::getRunMicros() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t TaskResult::Reader::getRunMicros() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t TaskResult::Builder::getRunMicros() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t TaskResult::Builder::getRunMicros() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void TaskResult::Builder::setRunMicros(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
-                                    value);
+inline void TaskResult::Builder::setRunMicros( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t TaskResult::Reader::getWaitMicros() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<3>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t TaskResult::Reader::getWaitMicros() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t TaskResult::Builder::getWaitMicros() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<3>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t TaskResult::Builder::getWaitMicros() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void TaskResult::Builder::setWaitMicros(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS,
-                                    value);
+inline void TaskResult::Builder::setWaitMicros( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::jayrill::wire::NotRunReason TaskResult::Reader::getReason() const {
-  return _reader.getDataField<::jayrill::wire::NotRunReason>(
+inline  ::jayrill::wire::NotRunReason TaskResult::Reader::getReason() const {
+  return _reader.getDataField< ::jayrill::wire::NotRunReason>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline ::jayrill::wire::NotRunReason TaskResult::Builder::getReason() {
-  return _builder.getDataField<::jayrill::wire::NotRunReason>(
+inline  ::jayrill::wire::NotRunReason TaskResult::Builder::getReason() {
+  return _builder.getDataField< ::jayrill::wire::NotRunReason>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void TaskResult::Builder::setReason(
-    ::jayrill::wire::NotRunReason value) {
-  _builder.setDataField<::jayrill::wire::NotRunReason>(
+inline void TaskResult::Builder::setReason( ::jayrill::wire::NotRunReason value) {
+  _builder.setDataField< ::jayrill::wire::NotRunReason>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool MinionStatus::Reader::hasService() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool MinionStatus::Builder::hasService() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader MinionStatus::Reader::getService() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader MinionStatus::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder MinionStatus::Builder::getService() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder MinionStatus::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void MinionStatus::Builder::setService(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void MinionStatus::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder MinionStatus::Builder::initService(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder MinionStatus::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void MinionStatus::Builder::adoptService(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> MinionStatus::Builder::disownService() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> MinionStatus::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint32_t MinionStatus::Reader::getSlots() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint32_t MinionStatus::Reader::getSlots() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t MinionStatus::Builder::getSlots() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint32_t MinionStatus::Builder::getSlots() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void MinionStatus::Builder::setSlots(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void MinionStatus::Builder::setSlots( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t MinionStatus::Reader::getConnections() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint32_t MinionStatus::Reader::getConnections() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t MinionStatus::Builder::getConnections() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint32_t MinionStatus::Builder::getConnections() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void MinionStatus::Builder::setConnections(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                    value);
+inline void MinionStatus::Builder::setConnections( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t MinionStatus::Reader::getBusy() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<2>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint32_t MinionStatus::Reader::getBusy() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t MinionStatus::Builder::getBusy() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<2>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint32_t MinionStatus::Builder::getBusy() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void MinionStatus::Builder::setBusy(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
-                                    value);
+inline void MinionStatus::Builder::setBusy( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t MinionStatus::Reader::getQueued() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<3>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint32_t MinionStatus::Reader::getQueued() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t MinionStatus::Builder::getQueued() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<3>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint32_t MinionStatus::Builder::getQueued() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void MinionStatus::Builder::setQueued(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS,
-                                    value);
+inline void MinionStatus::Builder::setQueued( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool MinionStatus::Reader::getDraining() const {
-  return _reader.getDataField<bool>(::capnp::bounded<128>() *
-                                    ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
 }
 
 inline bool MinionStatus::Builder::getDraining() {
-  return _builder.getDataField<bool>(::capnp::bounded<128>() *
-                                     ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
 }
 inline void MinionStatus::Builder::setDraining(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<128>() * ::capnp::ELEMENTS,
-                              value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t MinionStatus::Reader::getConfigRevision() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<3>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t MinionStatus::Reader::getConfigRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t MinionStatus::Builder::getConfigRevision() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<3>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t MinionStatus::Builder::getConfigRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void MinionStatus::Builder::setConfigRevision(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS,
-                                    value);
+inline void MinionStatus::Builder::setConfigRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t MinionStatus::Reader::getCores() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<5>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint32_t MinionStatus::Reader::getCores() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t MinionStatus::Builder::getCores() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<5>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint32_t MinionStatus::Builder::getCores() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void MinionStatus::Builder::setCores(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS,
-                                    value);
+inline void MinionStatus::Builder::setCores( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t MinionStatus::Reader::getMemoryMb() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<8>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint32_t MinionStatus::Reader::getMemoryMb() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t MinionStatus::Builder::getMemoryMb() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<8>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint32_t MinionStatus::Builder::getMemoryMb() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline void MinionStatus::Builder::setMemoryMb(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS,
-                                    value);
+inline void MinionStatus::Builder::setMemoryMb( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t MinionStatus::Reader::getAccelerators() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<9>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint32_t MinionStatus::Reader::getAccelerators() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t MinionStatus::Builder::getAccelerators() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<9>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint32_t MinionStatus::Builder::getAccelerators() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
-inline void MinionStatus::Builder::setAccelerators(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<9>() * ::capnp::ELEMENTS,
-                                    value);
+inline void MinionStatus::Builder::setAccelerators( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t MinionStatus::Reader::getExpectedFreeMicros() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<5>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t MinionStatus::Reader::getExpectedFreeMicros() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t MinionStatus::Builder::getExpectedFreeMicros() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<5>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t MinionStatus::Builder::getExpectedFreeMicros() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void MinionStatus::Builder::setExpectedFreeMicros(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS,
-                                    value);
+inline void MinionStatus::Builder::setExpectedFreeMicros( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool AgentReport::Reader::hasResults() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool AgentReport::Builder::hasResults() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::jayrill::wire::TaskResult, ::capnp::Kind::STRUCT>::Reader
-AgentReport::Reader::getResults() const {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::jayrill::wire::TaskResult, ::capnp::Kind::STRUCT>>::
-      get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::jayrill::wire::TaskResult,
-                     ::capnp::Kind::STRUCT>::Builder
-AgentReport::Builder::getResults() {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::jayrill::wire::TaskResult, ::capnp::Kind::STRUCT>>::
-      get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void AgentReport::Builder::setResults(
-    ::capnp::List<::jayrill::wire::TaskResult, ::capnp::Kind::STRUCT>::Reader
-        value) {
-  ::capnp::_::PointerHelpers<
-      ::capnp::List<::jayrill::wire::TaskResult, ::capnp::Kind::STRUCT>>::
-      set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::jayrill::wire::TaskResult,
-                     ::capnp::Kind::STRUCT>::Builder
-AgentReport::Builder::initResults(unsigned int size) {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::jayrill::wire::TaskResult, ::capnp::Kind::STRUCT>>::
-      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-           size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::jayrill::wire::TaskResult,  ::capnp::Kind::STRUCT>::Reader AgentReport::Reader::getResults() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::jayrill::wire::TaskResult,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::jayrill::wire::TaskResult,  ::capnp::Kind::STRUCT>::Builder AgentReport::Builder::getResults() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::jayrill::wire::TaskResult,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AgentReport::Builder::setResults( ::capnp::List< ::jayrill::wire::TaskResult,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::jayrill::wire::TaskResult,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::jayrill::wire::TaskResult,  ::capnp::Kind::STRUCT>::Builder AgentReport::Builder::initResults(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::jayrill::wire::TaskResult,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void AgentReport::Builder::adoptResults(
-    ::capnp::Orphan<::capnp::List<::jayrill::wire::TaskResult,
-                                  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers<
-      ::capnp::List<::jayrill::wire::TaskResult, ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-            kj::mv(value));
-}
-inline ::capnp::Orphan<
-    ::capnp::List<::jayrill::wire::TaskResult, ::capnp::Kind::STRUCT>>
-AgentReport::Builder::disownResults() {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::jayrill::wire::TaskResult, ::capnp::Kind::STRUCT>>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::capnp::List< ::jayrill::wire::TaskResult,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::jayrill::wire::TaskResult,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::jayrill::wire::TaskResult,  ::capnp::Kind::STRUCT>> AgentReport::Builder::disownResults() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::jayrill::wire::TaskResult,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool AgentReport::Reader::hasStatus() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool AgentReport::Builder::hasStatus() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::jayrill::wire::MinionStatus::Reader AgentReport::Reader::getStatus()
-    const {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::MinionStatus>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::jayrill::wire::MinionStatus::Reader AgentReport::Reader::getStatus() const {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::MinionStatus>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::jayrill::wire::MinionStatus::Builder
-AgentReport::Builder::getStatus() {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::MinionStatus>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::jayrill::wire::MinionStatus::Builder AgentReport::Builder::getStatus() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::MinionStatus>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::jayrill::wire::MinionStatus::Pipeline
-AgentReport::Pipeline::getStatus() {
-  return ::jayrill::wire::MinionStatus::Pipeline(_typeless.getPointerField(1));
+inline  ::jayrill::wire::MinionStatus::Pipeline AgentReport::Pipeline::getStatus() {
+  return  ::jayrill::wire::MinionStatus::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void AgentReport::Builder::setStatus(
-    ::jayrill::wire::MinionStatus::Reader value) {
-  ::capnp::_::PointerHelpers<::jayrill::wire::MinionStatus>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+inline void AgentReport::Builder::setStatus( ::jayrill::wire::MinionStatus::Reader value) {
+  ::capnp::_::PointerHelpers< ::jayrill::wire::MinionStatus>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::jayrill::wire::MinionStatus::Builder
-AgentReport::Builder::initStatus() {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::MinionStatus>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::jayrill::wire::MinionStatus::Builder AgentReport::Builder::initStatus() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::MinionStatus>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void AgentReport::Builder::adoptStatus(
-    ::capnp::Orphan<::jayrill::wire::MinionStatus>&& value) {
-  ::capnp::_::PointerHelpers<::jayrill::wire::MinionStatus>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::jayrill::wire::MinionStatus>&& value) {
+  ::capnp::_::PointerHelpers< ::jayrill::wire::MinionStatus>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::jayrill::wire::MinionStatus>
-AgentReport::Builder::disownStatus() {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::MinionStatus>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::jayrill::wire::MinionStatus> AgentReport::Builder::disownStatus() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::MinionStatus>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool AgentReport::Reader::hasConfig() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool AgentReport::Builder::hasConfig() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline ::jayrill::wire::Config::Reader AgentReport::Reader::getConfig() const {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::Config>::get(
-      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::jayrill::wire::Config::Reader AgentReport::Reader::getConfig() const {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::Config>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::jayrill::wire::Config::Builder AgentReport::Builder::getConfig() {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::Config>::get(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::jayrill::wire::Config::Builder AgentReport::Builder::getConfig() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::Config>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::jayrill::wire::Config::Pipeline AgentReport::Pipeline::getConfig() {
-  return ::jayrill::wire::Config::Pipeline(_typeless.getPointerField(2));
+inline  ::jayrill::wire::Config::Pipeline AgentReport::Pipeline::getConfig() {
+  return  ::jayrill::wire::Config::Pipeline(_typeless.getPointerField(2));
 }
 #endif  // !CAPNP_LITE
-inline void AgentReport::Builder::setConfig(
-    ::jayrill::wire::Config::Reader value) {
-  ::capnp::_::PointerHelpers<::jayrill::wire::Config>::set(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      value);
+inline void AgentReport::Builder::setConfig( ::jayrill::wire::Config::Reader value) {
+  ::capnp::_::PointerHelpers< ::jayrill::wire::Config>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::jayrill::wire::Config::Builder AgentReport::Builder::initConfig() {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::Config>::init(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::jayrill::wire::Config::Builder AgentReport::Builder::initConfig() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::Config>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 inline void AgentReport::Builder::adoptConfig(
-    ::capnp::Orphan<::jayrill::wire::Config>&& value) {
-  ::capnp::_::PointerHelpers<::jayrill::wire::Config>::adopt(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::jayrill::wire::Config>&& value) {
+  ::capnp::_::PointerHelpers< ::jayrill::wire::Config>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::jayrill::wire::Config>
-AgentReport::Builder::disownConfig() {
-  return ::capnp::_::PointerHelpers<::jayrill::wire::Config>::disown(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::jayrill::wire::Config> AgentReport::Builder::disownConfig() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::Config>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-}  // namespace wire
-}  // namespace jayrill
+}  // namespace
+}  // namespace
 
 CAPNP_END_HEADER
+
