--- a/src/jayrill/base/snapshot.h
+++ b/src/jayrill/base/snapshot.h
@@ -14,13 +14,25 @@
 
 /// Registers the current thread as a reader of snapshots for its lifetime.
 ///
-/// Each thread that calls snapshot::Read needs one.
+/// Each thread that calls snapshot::Read needs one. A thread may have several,
+/// for example one in each object that reads; liburcu registers it once.
 class snapshot_reader_thread {
  public:
-  snapshot_reader_thread() { urcu_memb_register_thread(); }
-  ~snapshot_reader_thread() { urcu_memb_unregister_thread(); }
+  snapshot_reader_thread() {
+    if (registrations++ == 0) {
+      urcu_memb_register_thread();
+    }
+  }
+  ~snapshot_reader_thread() {
+    if (--registrations == 0) {
+      urcu_memb_unregister_thread();
+    }
+  }
   snapshot_reader_thread(const snapshot_reader_thread&) = delete;
   snapshot_reader_thread& operator=(const snapshot_reader_thread&) = delete;
+
+ private:
+  static inline thread_local int registrations = 0;
 };
 
 /// A value that many threads read without locks and that is replaced as a
--- a/src/jayrill/entry/agent_server.cc
+++ b/src/jayrill/entry/agent_server.cc
@@ -31,12 +31,14 @@
                            const clock& time,
                            kj::Timer& timer,
                            decided_callback decided,
-                           config_callback newer_config)
+                           config_callback newer_config,
+                           std::function<void()> turn_ended)
     : settings_(settings),
       time_(time),
       timer_(timer),
       decided_(std::move(decided)),
       newer_config_(std::move(newer_config)),
+      turn_ended_(std::move(turn_ended)),
       core_(settings.data_centre, std::move(strategy), time, *this),
       tasks_(*this) {
   tasks_.add(TickLoop());
@@ -109,6 +111,7 @@
     flush_scheduled_ = false;
     core_.Flush();
     ArmDeadline();
+    turn_ended_();
   }));
 }
 
--- a/src/jayrill/entry/agent_server.h
+++ b/src/jayrill/entry/agent_server.h
@@ -33,7 +33,8 @@
                const clock& time,
                kj::Timer& timer,
                decided_callback decided,
-               config_callback newer_config);
+               config_callback newer_config,
+               std::function<void()> turn_ended);
   ~agent_server() noexcept override;
   KJ_DISALLOW_COPY(agent_server);
 
@@ -41,6 +42,7 @@
   void Serve(kj::Own<kj::ConnectionReceiver> receiver);
 
   dispatcher& core() { return core_; }
+  const dispatcher& core() const { return core_; }
 
   /// Makes the dispatcher place tasks once this turn of the event loop has
   /// handled everything that has arrived.
@@ -92,6 +94,7 @@
   kj::Timer& timer_;
   decided_callback decided_;
   config_callback newer_config_;
+  std::function<void()> turn_ended_;
   dispatcher core_;
   std::vector<std::string> entries_;
   std::set<agent_connection*> connections_;
--- a/src/jayrill/entry/dispatch_service.cc
+++ b/src/jayrill/entry/dispatch_service.cc
@@ -3,6 +3,7 @@
 #include <glog/logging.h>
 #include <kj/async-io.h>
 #include <kj/async-unix.h>
+#include <poll.h>
 
 #include <utility>
 
@@ -70,7 +71,30 @@
     }
   }
   server_ = nullptr;
+  view_.Publish({});
   FailUndecided();
+  if (has_started) {
+    RefuseUntilStopped();
+  }
+}
+
+void dispatch_service::RefuseUntilStopped() {
+  // After a fault of the event loop the entry is not ready any more, but every
+  // caller still gets an answer.
+  while (!stopping_) {
+    pollfd event{queue_.event_fd(), POLLIN, 0};
+    poll(&event, 1, -1);
+    queue_.Drain();
+  }
+}
+
+void dispatch_service::PublishView(const agent_server& server) {
+  dispatch_view next{server.core().config(), server.core().IsReady(),
+                     server.core().IsIsolated()};
+  if (next != published_) {
+    published_ = next;
+    view_.Publish(std::move(next));
+  }
 }
 
 void dispatch_service::Serve(std::unique_ptr<placement_strategy> strategy,
@@ -86,6 +110,11 @@
         if (newer_config_) {
           newer_config_(std::move(config));
         }
+      },
+      [this] {
+        if (server_ != nullptr) {
+          PublishView(*server_);
+        }
       });
   auto receiver = io.provider->getNetwork()
                       .parseAddress(settings_.listen.c_str())
--- a/src/jayrill/entry/dispatch_service.h
+++ b/src/jayrill/entry/dispatch_service.h
@@ -14,9 +14,11 @@
 
 #include "jayrill/base/clock.h"
 #include "jayrill/base/error.h"
+#include "jayrill/base/snapshot.h"
 #include "jayrill/base/work_queue.h"
 #include "jayrill/entry/dispatch_port.h"
 #include "jayrill/entry/dispatch_settings.h"
+#include "jayrill/entry/dispatch_view.h"
 
 namespace jayrill {
 
@@ -40,6 +42,10 @@
   /// graceful stop calls Drain first.
   void Stop();
 
+  /// \returns the dispatcher's state as of its last turn. Callable from every
+  /// thread that holds a snapshot_reader_thread.
+  dispatch_view View() const { return view_.Copy(); }
+
   // dispatch_port
   void Submit(job_id id, job_spec spec, outcome_callback done) override;
   void Cancel(job_id id) override;
@@ -59,7 +65,9 @@
   void Serve(std::unique_ptr<placement_strategy> strategy,
              start_promise& started,
              bool& has_started);
+  void PublishView(const agent_server& server);
   void FailUndecided();
+  void RefuseUntilStopped();
   void Decided(job_id id, job_outcome outcome);
 
   dispatch_settings settings_;
@@ -67,9 +75,11 @@
   work_queue queue_;
   std::thread thread_;
   std::atomic<bool> stopping_ = false;
+  snapshot<dispatch_view> view_{dispatch_view{}};
 
   // Owned by the dispatcher thread.
   agent_server* server_ = nullptr;
+  dispatch_view published_;
   std::unordered_map<job_id, outcome_callback> callbacks_;
   std::function<void(shared_config)> newer_config_;
 };
--- /dev/null
+++ b/src/jayrill/entry/dispatch_view.h
@@ -0,0 +1,22 @@
+#ifndef JAYRILL_ENTRY_DISPATCH_VIEW_H_
+#define JAYRILL_ENTRY_DISPATCH_VIEW_H_
+
+#include "jayrill/entry/dispatch_port.h"
+
+namespace jayrill {
+
+/// What the HTTP thread needs of the dispatcher on the path of a request.
+///
+/// The dispatcher publishes it through a snapshot, so that a request reads it
+/// without a lock and without a turn of the dispatcher's thread.
+struct dispatch_view {
+  shared_config config;  ///< In force; null while there is none.
+  bool ready = false;    ///< Has a configuration and has settled.
+  bool isolated = false;
+
+  bool operator==(const dispatch_view&) const = default;
+};
+
+}  // namespace jayrill
+
+#endif  // JAYRILL_ENTRY_DISPATCH_VIEW_H_
--- a/src/jayrill/entry/dispatcher.cc
+++ b/src/jayrill/entry/dispatcher.cc
@@ -146,7 +146,7 @@
   status.revision = config_ ? config_->revision : config_revision{};
   status.isolated = IsIsolated();
   status.draining = draining_;
-  status.ready = config_ != nullptr && IsSettled();
+  status.ready = IsReady();
   status.jobs = jobs_.undecided();
   for (const auto& [service, pool] : agents_.pools()) {
     status.waiting_tasks += pool.waiting();
--- a/src/jayrill/entry/dispatcher.h
+++ b/src/jayrill/entry/dispatcher.h
@@ -86,6 +86,13 @@
   }
 
   const shared_config& config() const { return config_; }
+
+  /// \returns true when jobs are taken: there is a configuration, and agents
+  /// have had the time to connect.
+  bool IsReady() const { return config_ != nullptr && IsSettled(); }
+
+  /// \returns true when the entry is cut off and must start nothing.
+  bool IsIsolated() const;
   dispatch_counters& counters() { return counters_; }
   std::size_t open_sessions() const { return agents_.open_sessions(); }
 
@@ -133,7 +140,6 @@
   // Sending (dispatcher_sending.cc).
   bool MaySend() const;
   bool IsSettled() const;
-  bool IsIsolated() const;
   bool MayStart(const std::string& team, const service_pool& pool) const;
   void Send(const queued_task& task, agent_session& session);
   void Push(agent_session& session);
--- a/src/jayrill/entry/entry_process.cc
+++ b/src/jayrill/entry/entry_process.cc
@@ -111,10 +111,9 @@
 }
 
 void entry_process::MakeApis() {
-  jobs_ = std::make_unique<job_api>(job_api_parts{
-      dispatch_, *claims_, time_, metrics_,
-      [this] { return has_config_ ? config_->current() : nullptr; },
-      incarnation_});
+  jobs_ = std::make_unique<job_api>(
+      job_api_parts{dispatch_, *claims_, time_, metrics_,
+                    [this] { return dispatch_.View().config; }, incarnation_});
   operators_ = std::make_unique<operator_api>(
       operator_api_parts{*config_, metrics_, settings_.operator_secret,
                          [this](const std::function<void(entry_status)>& done) {
@@ -267,7 +266,7 @@
 }
 
 bool entry_process::IsReady() const {
-  return has_config_ && status_.ready && !stopping_;
+  return dispatch_.View().ready && !stopping_;
 }
 
 void entry_process::Stop() {
--- a/src/jayrill/entry/entry_process.h
+++ b/src/jayrill/entry/entry_process.h
@@ -11,6 +11,7 @@
 
 #include "jayrill/base/clock.h"
 #include "jayrill/base/error.h"
+#include "jayrill/base/snapshot.h"
 #include "jayrill/claim/claim_ledger.h"
 #include "jayrill/config/config_store.h"
 #include "jayrill/entry/dispatch_service.h"
@@ -109,6 +110,7 @@
   bool storing_ = false;  ///< The ends of claims are being stored.
   std::optional<steady_time> confirmed_;
   wall_time last_confirmed_;  ///< The start, before the first confirmation.
+  snapshot_reader_thread reader_;  ///< Of the dispatcher's view.
   /// At most kTicksPerStatus ticks old.
   dispatch_status status_;
   int ticks_ = 0;
