--- a/src/jayrill/placement/task_queue.cc
+++ b/src/jayrill/placement/task_queue.cc
@@ -14,7 +14,7 @@
 
 /// A job is due after this multiple of the time that it would need alone.
 /// Chosen by measurement; see docs/measurements.md.
-constexpr int kDueFactor = 2;
+constexpr int kDueFactor = 4;
 
 steady_time LatestStart(const queued_task& task) {
   return task.arrival + task.job_time * kDueFactor - task.run_time -
