Clear the findings of the linter over the whole tree

Change: parameters that are only read are references; the literal namespaces carry the exemption and its reason as in operator_api.cc; the fuzz target includes base/name.h.

--- a/fuzz/job_codec_fuzz.cc
+++ b/fuzz/job_codec_fuzz.cc
@@ -1,6 +1,7 @@
 #include "jayrill/job/job_codec.h"
 
 #include "fuzz_target.h"
+#include "jayrill/base/name.h"
 
 using jayrill::fuzz::Require;
 
--- a/src/jayrill/config/config_codec.cc
+++ b/src/jayrill/config/config_codec.cc
@@ -9,6 +9,8 @@
 
 namespace {
 
+// Version 14 of the linter sees using-declarations of literals as unused.
+// NOLINTNEXTLINE(google-build-using-namespace)
 using namespace Qt::StringLiterals;
 
 template <typename Map>
--- a/src/jayrill/config/config_store.cc
+++ b/src/jayrill/config/config_store.cc
@@ -64,10 +64,10 @@
   item->change = std::move(change);
   item->done = std::move(done);
   item->limit = clock_.Now() + kSubmitLimit;
-  Read(std::move(item));
+  Read(item);
 }
 
-void config_store::Read(submission_ref item) {
+void config_store::Read(const submission_ref& item) {
   item->known = holder_.revision();
   store_.Get(kConfigKey,
              guard_.Wrap([this, item](result<std::optional<store_entry>> got) {
@@ -93,7 +93,7 @@
   }
   if (config->revision < holder_.revision() &&
       config->revision >= item->known) {
-    Retry(std::move(item));  // A newer one was accepted during the read.
+    Retry(item);  // A newer one was accepted during the read.
     return;
   }
   if (config->revision < holder_.revision()) {
@@ -117,9 +117,9 @@
   item->tried = config->revision;
   std::vector<audit_record> archive = TakeArchive(*next);
   if (archive.empty()) {
-    Write(std::move(item), at, std::move(*next));
+    Write(item, at, std::move(*next));
   } else {
-    Archive(std::move(item), at, std::move(*next), std::move(archive));
+    Archive(item, at, std::move(*next), std::move(archive));
   }
 }
 
@@ -151,7 +151,7 @@
   return false;
 }
 
-void config_store::Archive(submission_ref item,
+void config_store::Archive(const submission_ref& item,
                            store_revision expected,
                            cluster_config next,
                            std::vector<audit_record> archive) {
@@ -172,7 +172,7 @@
       }));
 }
 
-void config_store::Write(submission_ref item,
+void config_store::Write(const submission_ref& item,
                          store_revision expected,
                          cluster_config next) {
   auto config = std::make_shared<const cluster_config>(std::move(next));
@@ -194,7 +194,7 @@
       }));
 }
 
-void config_store::Retry(submission_ref item) {
+void config_store::Retry(const submission_ref& item) {
   if (clock_.Now() >= item->limit) {
     Fail(*item, {error_kind::kUnavailable, "the store did not take the change",
                  "repeat the change later"});
@@ -209,7 +209,7 @@
 // the change was not accepted.
 void config_store::FailOrRetry(submission_ref item, const error& failure) {
   if (item->unsettled) {
-    Retry(std::move(item));
+    Retry(item);
   } else {
     Fail(*item, failure);
   }
@@ -232,7 +232,8 @@
   }
 }
 
-void config_store::ReadAudit(store::callback<std::vector<audit_record>> done) {
+void config_store::ReadAudit(
+    const store::callback<std::vector<audit_record>>& done) {
   store_.List(
       kAuditPrefix,
       guard_.Wrap([this, done](result<std::vector<store_entry>> archives) {
--- a/src/jayrill/config/config_store.h
+++ b/src/jayrill/config/config_store.h
@@ -53,7 +53,7 @@
   void Offer(shared config);
 
   /// Reads the whole audit trail with its archive, oldest record first.
-  void ReadAudit(store::callback<std::vector<audit_record>> done);
+  void ReadAudit(const store::callback<std::vector<audit_record>>& done);
 
   const shared& current() const { return holder_.current(); }
 
@@ -61,17 +61,19 @@
   struct submission;
   using submission_ref = std::shared_ptr<submission>;
 
-  void Read(submission_ref item);
+  void Read(const submission_ref& item);
   void Apply(submission_ref item, const std::optional<store_entry>& found);
-  void Archive(submission_ref item,
+  void Archive(const submission_ref& item,
                store_revision expected,
                cluster_config next,
                std::vector<audit_record> archive);
-  void Write(submission_ref item, store_revision expected, cluster_config next);
+  void Write(const submission_ref& item,
+             store_revision expected,
+             cluster_config next);
   bool Settle(submission& item,
               store_revision found,
               const cluster_config& config);
-  void Retry(submission_ref item);
+  void Retry(const submission_ref& item);
   void Fail(submission& item, error failure);
   void FailOrRetry(submission_ref item, const error& failure);
   void OnEvent(const store_event& event);
--- a/src/jayrill/config/internal/config_json.cc
+++ b/src/jayrill/config/internal/config_json.cc
@@ -7,6 +7,8 @@
 
 namespace {
 
+// Version 14 of the linter sees using-declarations of literals as unused.
+// NOLINTNEXTLINE(google-build-using-namespace)
 using namespace Qt::StringLiterals;
 
 qint64 ToNumber(std::uint64_t value) {
--- a/src/jayrill/store/etcd_store.cc
+++ b/src/jayrill/store/etcd_store.cc
@@ -11,6 +11,8 @@
 
 namespace {
 
+// Version 14 of the linter sees using-declarations of literals as unused.
+// NOLINTNEXTLINE(google-build-using-namespace)
 using namespace Qt::StringLiterals;
 using store_internal::call_kind;
 using store_internal::etcd_answer;
--- a/src/jayrill/store/internal/etcd_call.cc
+++ b/src/jayrill/store/internal/etcd_call.cc
@@ -13,6 +13,8 @@
 
 namespace {
 
+// Version 14 of the linter sees using-declarations of literals as unused.
+// NOLINTNEXTLINE(google-build-using-namespace)
 using namespace Qt::StringLiterals;
 
 struct progress {
@@ -117,15 +119,14 @@
                        QJsonObject body,
                        call_kind kind,
                        done_function done) {
-  Try(std::move(path), std::move(body), kind, endpoints_.size(),
-      std::move(done));
+  Try(path, body, kind, endpoints_.size(), done);
 }
 
-void etcd_client::Try(QString path,
-                      QJsonObject body,
+void etcd_client::Try(const QString& path,
+                      const QJsonObject& body,
                       call_kind kind,
                       std::size_t tries_left,
-                      done_function done) {
+                      const done_function& done) {
   QNetworkReply* const reply = calls_.post(
       Request(path), QJsonDocument(body).toJson(QJsonDocument::Compact));
   auto seen = std::make_shared<progress>();
--- a/src/jayrill/store/internal/etcd_call.h
+++ b/src/jayrill/store/internal/etcd_call.h
@@ -44,11 +44,11 @@
   void UseNextEndpoint() { current_ = (current_ + 1) % endpoints_.size(); }
 
  private:
-  void Try(QString path,
-           QJsonObject body,
+  void Try(const QString& path,
+           const QJsonObject& body,
            call_kind kind,
            std::size_t tries_left,
-           done_function done);
+           const done_function& done);
   QNetworkRequest Request(const QString& path) const;
 
   std::vector<QString> endpoints_;
--- a/src/jayrill/store/internal/etcd_json.cc
+++ b/src/jayrill/store/internal/etcd_json.cc
@@ -8,6 +8,8 @@
 
 namespace {
 
+// Version 14 of the linter sees using-declarations of literals as unused.
+// NOLINTNEXTLINE(google-build-using-namespace)
 using namespace Qt::StringLiterals;
 
 }  // namespace
--- a/src/jayrill/store/internal/etcd_watch.cc
+++ b/src/jayrill/store/internal/etcd_watch.cc
@@ -10,6 +10,8 @@
 
 namespace {
 
+// Version 14 of the linter sees using-declarations of literals as unused.
+// NOLINTNEXTLINE(google-build-using-namespace)
 using namespace Qt::StringLiterals;
 using std::chrono::milliseconds;
 
@@ -203,7 +205,7 @@
   buffer_.clear();
 }
 
-bool etcd_watch::Report(store_event event) {
+bool etcd_watch::Report(const store_event& event) {
   // A stream may repeat what the list has shown.
   const auto known = seen_.find(event.key);
   if (event.value) {
--- a/src/jayrill/store/internal/etcd_watch.h
+++ b/src/jayrill/store/internal/etcd_watch.h
@@ -47,7 +47,7 @@
   void Interrupt(const error& failure);
   void CloseStream();
   /// \returns false when the listener has ended this watch.
-  bool Report(store_event event);
+  bool Report(const store_event& event);
 
   std::shared_ptr<etcd_client> client_;
   scheduler& timers_;
