Keep tasks at the entry while another slot is free, and stop waiting in time

Cause: a start that was sent ahead to a busy minion stayed behind a long task for seconds while other minions had free slots (a status trace of 12 tasks of 9 s showed one queued start for 8 s). A task of several seconds was expected to end at once as soon as it was a little late, so starts were queued behind it. A task that waits for a faster minion could wait for ever when the estimates are wrong.

Ruled out: withdrawing such starts again (two more messages, and the bind should not happen); the slow start, which explains the other unused slots in that trace.

Change: a start is sent ahead only when no slot is free; the expected rest of a running task is at least a tenth of its run time; waiting ends once it has lasted as long as the best free slot would have taken more.

--- a/src/jayrill/entry/agent_session.cc
+++ b/src/jayrill/entry/agent_session.cc
@@ -18,9 +18,14 @@
 /// Most slots that a minion is believed to have, whatever it announces.
 constexpr std::uint32_t kMaxSlots = 4096;
 
-/// A late task is assumed to need this part of its expected time again.
+/// A late task is assumed to need this part of its lateness again.
 constexpr double kOverdueFraction = 0.25;
 
+/// Run times of one kind differ, so a task is never expected to end within less
+/// than this part of its run time. Otherwise a start would be queued behind a
+/// task of several seconds as soon as that is a little late.
+constexpr double kLeastRemainder = 0.1;
+
 }  // namespace
 
 std::optional<agent_session::connect_effect> agent_session::Connect(
@@ -80,7 +85,7 @@
   open_ = false;
   connected_ = false;
   expected_ends_.clear();
-  earliest_end_ = steady_time::max();
+  earliest_end_ = {};
   other_load_ = 0;
   return window_.Close();
 }
@@ -127,10 +132,14 @@
   const start_number number = window_.Add(task);
   const std::chrono::duration<double, std::micro> expected =
       run_time * slowness_;
-  const steady_time end =
-      now + std::chrono::duration_cast<steady_duration>(expected);
-  expected_ends_.emplace_hint(expected_ends_.end(), number, end);
-  earliest_end_ = std::min(earliest_end_, end);
+  const expected_end ends{
+      now + std::chrono::duration_cast<steady_duration>(expected),
+      std::chrono::duration_cast<std::chrono::microseconds>(expected *
+                                                            kLeastRemainder)};
+  expected_ends_.emplace_hint(expected_ends_.end(), number, ends);
+  if (ends.end < earliest_end_.end) {
+    earliest_end_ = ends;
+  }
   health_.OnStart(now);
   return number;
 }
@@ -212,11 +221,12 @@
 std::chrono::microseconds agent_session::ExpectedFree(steady_time now) const {
   using std::chrono::microseconds;
   auto earliest = microseconds::max();
-  if (earliest_end_ != steady_time::max()) {
-    earliest =
-        earliest_end_ >= now
-            ? std::chrono::duration_cast<microseconds>(earliest_end_ - now)
-            : EarliestOverdue(now);
+  if (earliest_end_.end != steady_time::max()) {
+    earliest = earliest_end_.end >= now
+                   ? std::max(std::chrono::duration_cast<microseconds>(
+                                  earliest_end_.end - now),
+                              earliest_end_.least)
+                   : EarliestOverdue(now);
   }
   if (other_load_ > 0 && reported_free_ > now) {
     earliest = std::min(earliest, std::chrono::duration_cast<microseconds>(
@@ -229,21 +239,23 @@
     steady_time now) const {
   using std::chrono::microseconds;
   auto earliest = microseconds::max();
-  for (const auto& [number, end] : expected_ends_) {
-    auto left = std::chrono::duration_cast<microseconds>(end - now);
+  for (const auto& [number, ends] : expected_ends_) {
+    auto left = std::chrono::duration_cast<microseconds>(ends.end - now);
     if (left.count() < 0) {
       left = microseconds(static_cast<std::int64_t>(
           static_cast<double>(-left.count()) * kOverdueFraction));
     }
-    earliest = std::min(earliest, left);
+    earliest = std::min(earliest, std::max(left, ends.least));
   }
   return earliest;
 }
 
 void agent_session::UpdateEarliestEnd() {
-  earliest_end_ = steady_time::max();
-  for (const auto& [number, end] : expected_ends_) {
-    earliest_end_ = std::min(earliest_end_, end);
+  earliest_end_ = {};
+  for (const auto& [number, ends] : expected_ends_) {
+    if (ends.end < earliest_end_.end) {
+      earliest_end_ = ends;
+    }
   }
 }
 
--- a/src/jayrill/entry/agent_session.h
+++ b/src/jayrill/entry/agent_session.h
@@ -114,8 +114,15 @@
   agent_hello hello_;
   start_window window_;
   connection_id connection_;
-  std::map<start_number, steady_time> expected_ends_;
-  steady_time earliest_end_ = steady_time::max();  ///< Of expected_ends_.
+  /// When a start is expected to end, and the least time that it is ever
+  /// expected to need still.
+  struct expected_end {
+    steady_time end = steady_time::max();
+    std::chrono::microseconds least{};
+  };
+
+  std::map<start_number, expected_end> expected_ends_;
+  expected_end earliest_end_;  ///< Of expected_ends_.
   minion_health health_;
   bool open_ = false;
   bool connected_ = false;
--- a/src/jayrill/entry/task_placer.cc
+++ b/src/jayrill/entry/task_placer.cc
@@ -1,6 +1,7 @@
 #include "jayrill/entry/task_placer.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace jayrill {
 
@@ -9,7 +10,7 @@
 /// Waiting tasks that are passed over in one pass. Each reserves a share of
 /// the minion that it waits for, so that slow free slots are used when the
 /// queue is long.
-constexpr int kMaxPassedOver = 64;
+constexpr std::size_t kMaxPassedOver = 64;
 
 }  // namespace
 
@@ -25,20 +26,23 @@
     return;
   }
   MakeCursors(pool, may_start);
-  int passed_over = 0;
+  std::map<task_key, steady_time> passed_over;
   while (cursor* const next = NextCursor()) {
     const queued_task task = *next->position;
     const auto slack = std::chrono::duration_cast<std::chrono::microseconds>(
         expected_end(task) - now);
-    const auto choice = strategy_->Prefer({task.run_time, slack}, views_);
+    const auto choice =
+        strategy_->Prefer({task.run_time, slack, Waited(task, now)}, views_);
     if (!choice) {
-      return;
+      break;
     }
     if (!choice->start_now) {
       Reserve(choice->index, task.run_time);
       ++next->position;
-      if (++passed_over == kMaxPassedOver) {
-        return;
+      passed_over.emplace(task_key(task.job, task.index),
+                          now - Waited(task, now));
+      if (passed_over.size() == kMaxPassedOver) {
+        break;
       }
       continue;
     }
@@ -50,9 +54,19 @@
       next->position = next->queue->end();
     }
     if (late && !AnyCanStart()) {
-      return;
+      break;
     }
   }
+  passed_over_ = std::move(passed_over);
+}
+
+std::chrono::microseconds task_placer::Waited(const queued_task& task,
+                                              steady_time now) const {
+  const auto found = passed_over_.find(task_key(task.job, task.index));
+  return found == passed_over_.end()
+             ? std::chrono::microseconds{0}
+             : std::chrono::duration_cast<std::chrono::microseconds>(
+                   now - found->second);
 }
 
 void task_placer::MakeViews(const service_pool& pool,
--- a/src/jayrill/entry/task_placer.h
+++ b/src/jayrill/entry/task_placer.h
@@ -2,6 +2,7 @@
 #define JAYRILL_ENTRY_TASK_PLACER_H_
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <utility>
@@ -56,8 +57,15 @@
   bool AnyCanStart() const;
   cursor* NextCursor();
   void Reserve(std::size_t index, std::chrono::microseconds run_time);
+  std::chrono::microseconds Waited(const queued_task& task,
+                                   steady_time now) const;
 
   std::unique_ptr<placement_strategy> strategy_;
+  using task_key = std::pair<job_id, std::uint32_t>;
+
+  /// Since when the tasks that the last pass passed over have waited although
+  /// a slot was free.
+  std::map<task_key, steady_time> passed_over_;
   // Kept between passes for their memory only.
   std::vector<minion_view> views_;
   std::vector<agent_session*> sessions_;
--- a/src/jayrill/placement/placement_strategy.cc
+++ b/src/jayrill/placement/placement_strategy.cc
@@ -118,25 +118,55 @@
     return best;
   }
 
+  /// The minion with the earliest finish among those that were offered.
+  struct finish_candidate {
+    std::optional<placement_choice> choice;
+    double finish = std::numeric_limits<double>::infinity();
+    double run = 0;
+
+    void Offer(std::size_t index, double end, double run_time, bool start_now) {
+      if (end < finish) {
+        choice = placement_choice{index, start_now};
+        finish = end;
+        run = run_time;
+      }
+    }
+  };
+
+  /// Waiting for a minion is given up once it has taken as long as the best
+  /// free slot would have taken more. The wait then costs at most twice the
+  /// better choice, however wrong the estimates are.
   static std::optional<placement_choice> EarliestFinish(
       const task_demand& task,
       std::span<const minion_view> minions) {
-    std::optional<placement_choice> best;
-    double best_finish = std::numeric_limits<double>::infinity();
+    const auto run_time = static_cast<double>(task.run_time.count());
+    finish_candidate best;
+    finish_candidate best_free;
     for (std::size_t i = 0; i < minions.size(); ++i) {
       const minion_view& minion = minions[i];
       if (minion.start_limit == 0) {
         continue;
       }
-      const double wait = minion.HasFreeSlot() ? 0.0 : Wait(minion);
-      const double finish =
-          wait + static_cast<double>(task.run_time.count()) * minion.slowness;
-      if (finish < best_finish) {
-        best = placement_choice{i, minion.CanStart()};
-        best_finish = finish;
+      const bool is_free = minion.HasFreeSlot();
+      const double wait = is_free ? 0.0 : Wait(minion);
+      const double run = run_time * minion.slowness;
+      best.Offer(i, wait + run, run, minion.CanStart());
+      if (is_free) {
+        best_free.Offer(i, run, run, true);
       }
     }
-    return best;
+    if (!best.choice) {
+      return std::nullopt;
+    }
+    if (!best_free.choice || best.choice->index == best_free.choice->index) {
+      return best.choice;
+    }
+    // A start in the queue of an agent cannot use the slots that are free
+    // elsewhere when the wait turns out to be longer, so the task waits here.
+    const bool has_waited_enough =
+        static_cast<double>(task.waited.count()) >= best_free.run - best.run;
+    return has_waited_enough ? *best_free.choice
+                             : placement_choice{best.choice->index, false};
   }
 
   /// A minion in slow start or trial frees no slot for this entry before a
--- a/src/jayrill/placement/placement_strategy.h
+++ b/src/jayrill/placement/placement_strategy.h
@@ -22,6 +22,8 @@
   /// Time in which the task may end without delaying its job: its other tasks
   /// are expected to need as long. Negative when the job is late.
   std::chrono::microseconds slack{};
+  /// How long the task has waited for a minion while others had a free slot.
+  std::chrono::microseconds waited{};
 
   auto operator<=>(const task_demand&) const = default;
 };
--- a/tests/scenario/scenario_host.cc
+++ b/tests/scenario/scenario_host.cc
@@ -178,11 +178,22 @@
 }
 
 quint16 scenario_host::FreePort() {
-  auto server = std::make_unique<QTcpServer>();
-  server->listen(QHostAddress::LocalHost, 0);
-  const quint16 port = server->serverPort();
-  server->close();
-  return port;
+  // Below the range from which the system takes ports for connections, so that
+  // none of them takes the port before the process that will listen on it. The
+  // first port depends on the process, so that scenarios can run side by side.
+  constexpr int kFirstPort = 10'000;
+  constexpr int kPorts = 20'000;
+  if (next_port_ == 0) {
+    next_port_ = static_cast<int>(getpid()) * 211 % kPorts;
+  }
+  while (true) {
+    next_port_ = (next_port_ + 1) % kPorts;
+    const auto port = static_cast<quint16>(kFirstPort + next_port_);
+    QTcpServer server;
+    if (server.listen(QHostAddress::LocalHost, port)) {
+      return port;
+    }
+  }
 }
 
 void scenario_host::Run(int milliseconds) {
--- a/tests/scenario/scenario_host.h
+++ b/tests/scenario/scenario_host.h
@@ -107,8 +107,8 @@
   std::map<int, request> requests_;
   std::vector<std::unique_ptr<forwarder>> forwarders_;
   std::vector<std::unique_ptr<QTcpSocket>> raw_;
-  std::vector<std::unique_ptr<QTcpServer>> reserved_;
   int next_request_ = 0;
+  int next_port_ = 0;
 };
 
 }  // namespace jayrill::scenario
--- a/tests/scenario/waves.lua
+++ b/tests/scenario/waves.lua
@@ -14,6 +14,19 @@
   expect(total_executions(backends) == round * 3 * slots, "executions differ from tasks")
 end
 
+-- Tasks far longer than expected still get every free slot: an entry that waits
+-- for the minions that it believes to be faster would use only a part of them.
+-- The slow start of the minions takes 5 s from their first connection.
+host.run(6000)
+local long = submit(entries[1], { tasks = slots, work_ms = 4000, kind = "long", tag = "long" })
+eventually("all slots work at the same time", function()
+  local busy = 0
+  for _, agent in ipairs(status_of(entries[1]).agents) do busy = busy + agent.busy end
+  return busy == slots or long.done()
+end)
+expect(not long.done(), "free slots were left unused")
+expect_whole(long.await(), slots, "long")
+
 -- Hundreds of callers leave; only what an agent has begun may still run.
 local before = total_executions(backends)
 local callers = 300
--- a/tests/unit/placement_test.cc
+++ b/tests/unit/placement_test.cc
@@ -28,6 +28,7 @@
   std::vector<minion_view> minions;
   std::optional<std::size_t> expected;
   microseconds slack{};
+  microseconds waited{};
 };
 
 class earliest_finish_test : public testing::TestWithParam<choice_case> {};
@@ -37,8 +38,9 @@
 TEST_P(earliest_finish_test, Chooses) {
   auto strategy = MakePlacementStrategy("jayrill", random_source(1));
   ASSERT_TRUE(strategy.has_value());
-  EXPECT_EQ((*strategy)->Choose({milliseconds(100), GetParam().slack},
-                                GetParam().minions),
+  EXPECT_EQ((*strategy)->Choose(
+                {milliseconds(100), GetParam().slack, GetParam().waited},
+                GetParam().minions),
             GetParam().expected);
 }
 
@@ -62,6 +64,18 @@
                     {Minion(0, 1.0), Minion(2, 3.0, milliseconds(1))},
                     0,
                     milliseconds(900)},
+        choice_case{
+            "looks_ahead_when_nothing_is_free",
+            {Minion(2, 3.0, milliseconds(5)), Minion(2, 1.0, milliseconds(5))},
+            1},
+        choice_case{"no_look_ahead_beside_a_free_slot",
+                    {Minion(0, 3.0), Minion(2, 1.0, milliseconds(5))},
+                    std::nullopt},
+        choice_case{"gives_up_waiting_when_it_does_not_pay",
+                    {Minion(0, 3.0), Minion(2, 1.0, milliseconds(50))},
+                    0,
+                    {},
+                    milliseconds(200)},
         choice_case{"all_at_their_limit",
                     {Minion(3, 1.0), Minion(3, 2.0)},
                     std::nullopt}),
