Show data centres that are out in the status, and split a long test file

Ruled out: a table for lists of names; one line is enough.

Change: only lists of objects become tables; an empty value prints none.

--- a/src/jayrill/cli/status_commands.cc
+++ b/src/jayrill/cli/status_commands.cc
@@ -43,9 +43,13 @@
       status.value(QLatin1String("revision")).toInteger();
   std::cout << ToString(ReadForce(status, revision)) << "\n\n";
   for (auto field = status.begin(); field != status.end(); ++field) {
-    if (!field->isArray()) {
-      std::cout << field.key().toStdString() << ": " << CellText(*field)
-                << "\n";
+    // Lists of objects are printed as tables below.
+    const bool is_table =
+        field->isArray() && field->toArray().first().isObject();
+    if (!is_table) {
+      const std::string text = CellText(*field);
+      std::cout << field.key().toStdString() << ": "
+                << (text.empty() ? "none" : text) << "\n";
     }
   }
   const QJsonArray entries = status.value(QLatin1String("entries")).toArray();
--- /dev/null
+++ b/tests/unit/agent_core_rig.h
@@ -0,0 +1,93 @@
+#ifndef JAYRILL_TESTS_UNIT_AGENT_CORE_RIG_H_
+#define JAYRILL_TESTS_UNIT_AGENT_CORE_RIG_H_
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "jayrill/agent/agent_core.h"
+#include "jayrill/config/config_codec.h"
+
+namespace jayrill {
+
+using std::chrono::milliseconds;
+
+inline constexpr incarnation kEntry{1};
+
+struct recording_host : agent_core::host {
+  void Call(task_call call) override { calls.push_back(std::move(call)); }
+  void ResultReady(incarnation) override {}
+  void StatusChanged() override {}
+  void PauseDetected() override { ++pauses; }
+
+  std::deque<task_call> calls;
+  int pauses = 0;
+};
+
+inline agent_settings Settings() {
+  agent_settings settings;
+  settings.data_centre = "east";
+  settings.queue_limit = 3;
+  return settings;
+}
+
+inline announcement Minion(std::uint32_t slots) {
+  announcement minion;
+  minion.service = "quotes";
+  minion.port = 8000;
+  minion.slots = slots;
+  minion.connections = 64;
+  return minion;
+}
+
+inline config_copy Config(std::uint64_t revision, const std::string& out = "") {
+  cluster_config config;
+  config.revision = {revision};
+  if (!out.empty()) {
+    config.data_centres[out].out = true;
+  }
+  return {config.revision, EncodeConfig(config, audit_trail::kOmitted)};
+}
+
+inline start_order Order(std::uint64_t number) {
+  start_order order;
+  order.number = {number};
+  order.service = "quotes";
+  order.remaining = std::chrono::milliseconds(60'000);
+  return order;
+}
+
+/// An agent with one slot, a minion and an open session.
+struct core_rig {
+  core_rig() {
+    core.OfferConfig(Config(5));
+    core.Announce(Minion(1));
+    epoch = core.Connect(kEntry).epoch;
+    core.Welcome(kEntry, false);
+  }
+
+  void Send(std::vector<start_order> starts, std::uint64_t revision = 5) {
+    core.HandleBatch(kEntry, {{revision}, epoch, std::move(starts)});
+  }
+
+  std::vector<task_result> Results() {
+    std::vector<task_result> results;
+    for (const task_result* result :
+         core.Session(kEntry).TakeUnsent(1U << 30U)) {
+      results.push_back(*result);
+    }
+    return results;
+  }
+
+  manual_clock time;
+  recording_host host;
+  agent_core core{Settings(), time, host};
+  connection_epoch epoch;
+};
+
+}  // namespace jayrill
+
+#endif  // JAYRILL_TESTS_UNIT_AGENT_CORE_RIG_H_
--- /dev/null
+++ b/tests/unit/report_schedule_test.cc
@@ -0,0 +1,68 @@
+#include "jayrill/agent/report_schedule.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "jayrill/agent/backoff.h"
+#include "jayrill/base/clock.h"
+#include "jayrill/base/random_source.h"
+
+namespace jayrill {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Guards against reports that flood the entry, and against heartbeats and dead
+// connections that are missed.
+TEST(report_schedule_test, ThrottlesStatusAndDetectsSilence) {
+  const steady_time start{std::chrono::hours(1)};
+  report_schedule schedule(milliseconds(20));
+  minion_status status;
+  schedule.Open(start, milliseconds(1000), status);
+  EXPECT_FALSE(schedule.StatusDue(status));
+  status.expected_free = milliseconds(5);
+  EXPECT_FALSE(schedule.StatusDue(status));
+  status.busy = 1;
+  EXPECT_EQ(schedule.StatusDue(status), start + milliseconds(20));
+  schedule.OnReport(start + milliseconds(30), status);
+  EXPECT_FALSE(schedule.StatusDue(status));
+  EXPECT_FALSE(schedule.IsHeartbeatDue(start + milliseconds(1029)));
+  EXPECT_TRUE(schedule.IsHeartbeatDue(start + milliseconds(1030)));
+  EXPECT_FALSE(schedule.IsSilent(start + milliseconds(3000)));
+  EXPECT_TRUE(schedule.IsSilent(start + milliseconds(3001)));
+  schedule.OnHeard(start + milliseconds(10));
+  EXPECT_FALSE(schedule.IsSilent(start + milliseconds(3001)));
+}
+
+// Guards against an agent that keeps the heartbeat interval of the time when
+// it connected while the number of sessions of the entry changes.
+TEST(report_schedule_test, FollowsTheIntervalsOfItsEntries) {
+  const steady_time start{std::chrono::hours(1)};
+  report_schedule schedule(milliseconds(20));
+  schedule.Open(start, milliseconds(1000), {});
+  schedule.SetHeartbeat(milliseconds(0));
+  EXPECT_EQ(schedule.heartbeat(), milliseconds(1000));
+  schedule.SetHeartbeat(milliseconds(4000));
+  EXPECT_FALSE(schedule.IsHeartbeatDue(start + milliseconds(3999)));
+  EXPECT_FALSE(schedule.IsSilent(start + milliseconds(12000)));
+  EXPECT_TRUE(schedule.IsSilent(start + milliseconds(12001)));
+  EXPECT_EQ(StatusInterval(milliseconds(20), 1), milliseconds(20));
+  EXPECT_EQ(StatusInterval(milliseconds(20), 3), milliseconds(20));
+  EXPECT_EQ(StatusInterval(milliseconds(20), 12), milliseconds(240));
+}
+
+// Guards against agents that dial a returning entry without pause or all at
+// once.
+RC_GTEST_PROP(backoff_property, StaysInItsBounds, (std::uint64_t seed)) {
+  random_source random(seed);
+  backoff delays;
+  milliseconds step = backoff::kFirst;
+  for (int i = 0; i < 10; ++i) {
+    const milliseconds delay = delays.Next(random);
+    RC_ASSERT(delay >= step / 2 && delay <= step);
+    step = std::min(step * 2, backoff::kLongest);
+  }
+}
+
+}  // namespace
+}  // namespace jayrill
