--- a/tools/check_labels.sh
+++ b/tools/check_labels.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${BUILD_DIR:-build}
-others='unit bad-input scenario qt-traffic fuzz'
+others='unit policy bad-input scenario qt-traffic fuzz'
 mapfile -t wanted < <(sed -n '/^## 1\./,/^## 2\./p' docs/design.md |
   sed -nE 's/^\| [0-9]+ \|.*\| ([a-z-]+) \|$/\1/p')
 [ "${#wanted[@]}" -eq 9 ] || { echo "labels: the table has changed"; exit 1; }
