Clear the findings that the last full lint run left

Cause: parameters that became references made their callers' parameters read-only as well. Change: config_store, etcd_call and etcd_watch pass them by reference.

--- a/src/jayrill/config/config_store.cc
+++ b/src/jayrill/config/config_store.cc
@@ -79,7 +79,7 @@
              }));
 }
 
-void config_store::Apply(submission_ref item,
+void config_store::Apply(const submission_ref& item,
                          const std::optional<store_entry>& found) {
   const result<cluster_config> config = Decode(found);
   if (!config) {
@@ -207,7 +207,8 @@
 
 // A write without an answer must be settled before the operator is told that
 // the change was not accepted.
-void config_store::FailOrRetry(submission_ref item, const error& failure) {
+void config_store::FailOrRetry(const submission_ref& item,
+                               const error& failure) {
   if (item->unsettled) {
     Retry(item);
   } else {
--- a/src/jayrill/config/config_store.h
+++ b/src/jayrill/config/config_store.h
@@ -62,7 +62,8 @@
   using submission_ref = std::shared_ptr<submission>;
 
   void Read(const submission_ref& item);
-  void Apply(submission_ref item, const std::optional<store_entry>& found);
+  void Apply(const submission_ref& item,
+             const std::optional<store_entry>& found);
   void Archive(const submission_ref& item,
                store_revision expected,
                cluster_config next,
@@ -75,7 +76,7 @@
               const cluster_config& config);
   void Retry(const submission_ref& item);
   void Fail(submission& item, error failure);
-  void FailOrRetry(submission_ref item, const error& failure);
+  void FailOrRetry(const submission_ref& item, const error& failure);
   void OnEvent(const store_event& event);
   void OnConfirmed();
 
--- a/src/jayrill/store/internal/etcd_call.cc
+++ b/src/jayrill/store/internal/etcd_call.cc
@@ -115,10 +115,10 @@
   return request;
 }
 
-void etcd_client::Post(QString path,
-                       QJsonObject body,
+void etcd_client::Post(const QString& path,
+                       const QJsonObject& body,
                        call_kind kind,
-                       done_function done) {
+                       const done_function& done) {
   Try(path, body, kind, endpoints_.size(), done);
 }
 
--- a/src/jayrill/store/internal/etcd_call.h
+++ b/src/jayrill/store/internal/etcd_call.h
@@ -35,7 +35,10 @@
   etcd_client(const std::vector<std::string>& endpoints,
               std::chrono::milliseconds timeout);
 
-  void Post(QString path, QJsonObject body, call_kind kind, done_function done);
+  void Post(const QString& path,
+            const QJsonObject& body,
+            call_kind kind,
+            const done_function& done);
 
   /// Opens a call whose answer has no end; the caller owns the reply.
   QNetworkReply* OpenStream(const QString& path, const QJsonObject& body);
--- a/src/jayrill/store/internal/etcd_watch.cc
+++ b/src/jayrill/store/internal/etcd_watch.cc
@@ -129,7 +129,7 @@
     if (event.value(u"type"_s).toString() != u"DELETE"_s) {
       change.value = Bytes(kv, u"value"_s);
     }
-    if (!Report(std::move(change))) {
+    if (!Report(change)) {
       return;
     }
   }
