--- a/src/jayrill/agent/agent_core.cc
+++ b/src/jayrill/agent/agent_core.cc
@@ -3,6 +3,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "jayrill/config/config_codec.h"
@@ -27,15 +28,26 @@
 void agent_core::Announce(const announcement& minion) {
   // An announcement that was on its way when the minion left must not bring
   // it back; a restarted minion is accepted after the same time.
-  if (left_at_ && time_.Now() - *left_at_ <= settings_.announce_ttl) {
+  const bool is_same_minion = minion_ && minion_->instance == minion.instance &&
+                              minion_->life == minion.life;
+  if (left_at_ && (is_same_minion || minion.instance.empty()) &&
+      time_.Now() - *left_at_ <= settings_.announce_ttl) {
     return;
   }
-  if (left_at_ || !IsAnnounced()) {
+  if (left_at_ || !IsAnnounced() || !is_same_minion ||
+      minion_->draining != minion.draining) {
     LOG(INFO) << "agent: minion announced service=" << minion.service
-              << " port=" << minion.port << " slots=" << minion.slots;
+              << " port=" << minion.port << " slots=" << minion.slots
+              << " instance=" << minion.instance << " life=" << minion.life
+              << " cpu_millis=" << minion.room.cpu_millis
+              << " draining=" << minion.draining;
   }
   left_at_.reset();
   minion_ = minion;
+  if (minion_->draining) {
+    GiveBack([](const queued_start&) { return true; },
+             {not_run_reason::kDraining, "the minion is leaving"});
+  }
   announced_at_ = time_.Now();
   DispatchWaiting();
   host_.StatusChanged();
@@ -83,6 +95,7 @@
     // The entry has reported these starts as lost; they must not run.
     queue_.WithdrawIf(
         [entry](const queued_start& start) { return start.entry == entry; });
+    StopRuns([entry](const running_call& run) { return run.entry == entry; });
     host_.StatusChanged();
   }
   counters_.dropped_results += sessions_[entry].Welcome(resumed);
@@ -145,7 +158,7 @@
   if (stopping_) {
     return refusal{not_run_reason::kDraining, "the agent is stopping"};
   }
-  if (left_at_) {
+  if (left_at_ || (minion_ && minion_->draining)) {
     return refusal{not_run_reason::kDraining, "the minion is leaving"};
   }
   if (!IsAnnounced()) {
@@ -170,6 +183,10 @@
              Micros(time_.Now() - withdrawn->arrived));
     }
   }
+  const std::set<start_number> wanted(numbers.begin(), numbers.end());
+  StopRuns([&](const running_call& run) {
+    return run.entry == entry && wanted.contains(run.number);
+  });
   host_.StatusChanged();
 }
 
@@ -177,9 +194,9 @@
   if (CheckPause()) {
     return;
   }
-  while (auto next = queue_.TakeNext(slots())) {
+  while (auto next = queue_.TakeNext(slots(), room())) {
     if (const auto why = Blocked(next->order, next->deadline)) {
-      queue_.Release({});
+      queue_.Release({}, next->order.needs);
       Refuse(next->entry, next->order.number, *why,
              Micros(time_.Now() - next->arrived));
       continue;
@@ -196,7 +213,9 @@
                     start.order.number,
                     start.arrived,
                     now,
-                    {}};
+                    {},
+                    start.order.needs,
+                    false};
   ++counters_.calls;
   host_.Call(
       {call, std::move(start.order), minion_->port, now, start.deadline});
@@ -223,7 +242,7 @@
   if (found == running_.end()) {
     return;
   }
-  queue_.Release(found->second.run_time);
+  queue_.Release(found->second.run_time, found->second.needs);
   running_.erase(found);
   DispatchWaiting();
   host_.StatusChanged();
@@ -265,6 +284,9 @@
     case task_outcome::kUnknown:
       ++counters_.unknown;
       break;
+    case task_outcome::kInterrupted:
+      ++counters_.interrupted;
+      break;
   }
   sessions_[entry].AddResult(std::move(outcome));
   host_.ResultReady(entry);
@@ -306,9 +328,60 @@
   const steady_time now = time_.Now();
   GiveBack([now](const queued_start& start) { return start.deadline <= now; },
            {not_run_reason::kExpired, "the deadline has passed"});
+  StopSilentRuns();
   CloseLostSessions();
 }
 
+void agent_core::OnHeard(incarnation entry) {
+  sessions_[entry].OnHeard(time_.Now());
+}
+
+bool agent_core::HasGuardedRuns(incarnation entry) const {
+  return settings_.run_silence.count() > 0 &&
+         std::any_of(running_.begin(), running_.end(), [&](const auto& item) {
+           return item.second.entry == entry;
+         });
+}
+
+void agent_core::StopRuns(
+    const std::function<bool(const running_call&)>& matches) {
+  for (const auto& [call, run] : running_) {
+    if (matches(run)) {
+      host_.StopCall(call);
+    }
+  }
+}
+
+void agent_core::StopSilentRuns() {
+  if (settings_.run_silence.count() == 0) {
+    return;
+  }
+  const steady_time limit = time_.Now() - settings_.run_silence;
+  for (auto& [entry, session] : sessions_) {
+    if (session.heard() >= limit) {
+      continue;
+    }
+    const auto is_of_entry = [entry = entry](const auto& start) {
+      return start.entry == entry;
+    };
+    const bool has_runs =
+        std::any_of(running_.begin(), running_.end(), [&](const auto& item) {
+          return is_of_entry(item.second) && !item.second.stopped;
+        });
+    GiveBack(is_of_entry, {not_run_reason::kCancelled, "the entry is silent"});
+    if (!has_runs) {
+      continue;
+    }
+    ++counters_.silent_entries;
+    LOG(WARNING) << "agent: stopping the runs of a silent entry entry="
+                 << ToString(entry) << " connected=" << session.connected();
+    StopRuns(is_of_entry);
+    for (auto& [call, run] : running_) {
+      run.stopped = run.stopped || run.entry == entry;
+    }
+  }
+}
+
 void agent_core::CloseLostSessions() {
   const steady_duration lost_after =
       std::max(settings_.session_lost_after, 3 * heartbeat_);
@@ -363,9 +436,14 @@
   return std::min({minion_->slots, minion_->connections, settings_.slots_cap});
 }
 
+resource_amount agent_core::room() const {
+  return minion_ ? minion_->room : resource_amount{};
+}
+
 minion_status agent_core::Status() const {
   minion_status status;
-  status.draining = stopping_ || left_at_.has_value();
+  status.draining =
+      stopping_ || left_at_.has_value() || (minion_ && minion_->draining);
   status.busy = queue_.busy();
   status.queued = static_cast<std::uint32_t>(queue_.waiting());
   status.revision = config_.revision;
@@ -377,6 +455,9 @@
     status.memory_mb = minion_->memory_mb;
     status.accelerators = minion_->accelerators;
     status.expected_free = queue_.ExpectedFree(slots());
+    status.room = minion_->room;
+    status.used = queue_.used();
+    status.warming_up = minion_->warming_up;
   }
   return status;
 }
--- a/src/jayrill/agent/agent_core.h
+++ b/src/jayrill/agent/agent_core.h
@@ -46,6 +46,8 @@
 
     /// Calls the minion; OnResult and OnSlotFree follow once each.
     virtual void Call(task_call call) = 0;
+    /// Stops \p call if the minion can do so.
+    virtual void StopCall(std::uint64_t /*call*/) {}
     /// The session with \p entry has a result to report.
     virtual void ResultReady(incarnation entry) = 0;
     /// Status() has changed.
@@ -93,6 +95,12 @@
   minion_status Status() const;
   entry_session& Session(incarnation entry) { return sessions_[entry]; }
   bool IsConnected(incarnation entry) const;
+
+  /// Notes a sign of life of \p entry.
+  void OnHeard(incarnation entry);
+
+  /// \returns true when tasks of \p entry run and its silence would stop them.
+  bool HasGuardedRuns(incarnation entry) const;
   const config_copy& config() const { return config_; }
   agent_counters& counters() { return counters_; }
 
@@ -104,6 +112,8 @@
     steady_time arrived;
     steady_time released;
     std::chrono::microseconds run_time{};
+    resource_amount needs;
+    bool stopped = false;  ///< Because its entry was silent.
   };
   struct refusal {
     not_run_reason reason;
@@ -112,6 +122,7 @@
 
   bool IsAnnounced() const;
   std::uint32_t slots() const;
+  resource_amount room() const;
   bool CheckPause();
   void HandlePause();
   void DispatchWaiting();
@@ -125,6 +136,8 @@
               std::chrono::microseconds waited);
   void Report(incarnation entry, task_result outcome);
   void CloseLostSessions();
+  void StopSilentRuns();
+  void StopRuns(const std::function<bool(const running_call&)>& matches);
 
   /// Conditions that are checked on arrival and again when a slot is free.
   std::optional<refusal> Blocked(const start_order& order,
--- a/src/jayrill/agent/agent_counters.h
+++ b/src/jayrill/agent/agent_counters.h
@@ -12,7 +12,7 @@
 
 /// Number of enumerators of not_run_reason.
 inline constexpr std::size_t kNotRunReasons =
-    static_cast<std::size_t>(not_run_reason::kWrongService) + 1;
+    static_cast<std::size_t>(not_run_reason::kRefused) + 1;
 
 /// What an agent has counted since its start; for metrics.
 struct agent_counters {
@@ -23,6 +23,8 @@
   std::uint64_t succeeded = 0;
   std::uint64_t failed = 0;
   std::uint64_t unknown = 0;
+  std::uint64_t interrupted = 0;     ///< Runs that ended without a result.
+  std::uint64_t silent_entries = 0;  ///< Whose runs were stopped.
   std::array<std::uint64_t, kNotRunReasons> not_run{};  ///< By reason.
   std::uint64_t dropped_results = 0;  ///< Of sessions that the entry closed.
   std::uint64_t pauses = 0;
--- a/src/jayrill/agent/agent_process.cc
+++ b/src/jayrill/agent/agent_process.cc
@@ -9,12 +9,17 @@
 
 namespace jayrill {
 
-agent_process::agent_process(agent_settings settings, const clock& time)
+agent_process::agent_process(agent_settings settings,
+                             const clock& time,
+                             agent_parts parts)
     : settings_(std::move(settings)),
       time_(time),
       metrics_([this] { return agent::internal::ToText(view()); }),
-      client_(settings_, time, ClientListener()),
-      api_(settings_.announce_ttl, ApiListener()) {}
+      client_(parts.minion ? parts.minion(ClientListener())
+                           : std::make_unique<minion_client>(settings_,
+                                                             time,
+                                                             ClientListener())),
+      api_(settings_.announce_ttl, ApiListener(), parts.announce_routes) {}
 
 agent_process::~agent_process() {
   PostToLoop([](agent_loop& loop) { loop.Abandon(); });
@@ -42,7 +47,10 @@
   agent_loop loop(
       settings_, time_, inbox_,
       [this](task_call call) {
-        PostToQt([this, call = std::move(call)] { client_.Run(call); });
+        PostToQt([this, call = std::move(call)] { client_->Run(call); });
+      },
+      [this](std::uint64_t call) {
+        PostToQt([this, call] { client_->Stop(call); });
       },
       [this](const agent_view& current) {
         const std::lock_guard<std::mutex> lock(view_mutex_);
@@ -68,7 +76,7 @@
                             Qt::QueuedConnection);
 }
 
-minion_client::listener agent_process::ClientListener() {
+minion_port::listener agent_process::ClientListener() {
   return {
       [this](std::uint64_t call, task_result outcome) {
         PostToLoop([call, outcome = std::move(outcome)](agent_loop& loop) {
@@ -81,23 +89,26 @@
 }
 
 announce_api::listener agent_process::ApiListener() {
-  return {[this](announcement minion) {
-            // The same rule as in agent_core::Announce.
-            if (left_at_ && time_.Now() - *left_at_ > settings_.announce_ttl) {
-              left_at_.reset();
-              client_.SetLeft(false);
-            }
-            PostToLoop([minion = std::move(minion)](agent_loop& loop) {
-              loop.core().Announce(minion);
-            });
-          },
-          [this] {
-            left_at_ = time_.Now();
-            client_.SetLeft(true);
-            PostToLoop([](agent_loop& loop) { loop.core().Leave(); });
-            return client_.running();
-          },
-          [this] { return metrics_(); }};
+  return {
+      [this](announcement minion) {
+        // The same rule as in agent_core::Announce.
+        if (left_at_ && (!minion.instance.empty() ||
+                         time_.Now() - *left_at_ > settings_.announce_ttl)) {
+          left_at_.reset();
+          client_->SetLeft(false);
+        }
+        client_->OnAnnounced(minion);
+        PostToLoop([minion = std::move(minion)](agent_loop& loop) {
+          loop.core().Announce(minion);
+        });
+      },
+      [this] {
+        left_at_ = time_.Now();
+        client_->SetLeft(true);
+        PostToLoop([](agent_loop& loop) { loop.core().Leave(); });
+        return client_->running();
+      },
+      [this] { return metrics_(); }};
 }
 
 agent_view agent_process::view() const {
--- a/src/jayrill/agent/agent_process.h
+++ b/src/jayrill/agent/agent_process.h
@@ -13,6 +13,7 @@
 #include "jayrill/agent/agent_settings.h"
 #include "jayrill/agent/announce_api.h"
 #include "jayrill/agent/minion_client.h"
+#include "jayrill/agent/minion_port.h"
 #include "jayrill/base/clock.h"
 #include "jayrill/base/error.h"
 #include "jayrill/base/work_queue.h"
@@ -33,11 +34,22 @@
   auto operator<=>(const agent_view&) const = default;
 };
 
+/// Parts of an agent that an adapter may replace.
+struct agent_parts {
+  /// Makes the port to the minion; empty: minion_client.
+  std::function<std::unique_ptr<minion_port>(minion_port::listener)> minion;
+  /// Adds the interface by which the minion announces itself; empty: none
+  /// beside the one of jayrill.
+  announce_api::route_adder announce_routes;
+};
+
 /// The agent role. Runs HTTP on the thread that creates it, which needs a Qt
 /// event loop, and RPC on a thread of its own.
 class agent_process final {
  public:
-  agent_process(agent_settings settings, const clock& time);
+  agent_process(agent_settings settings,
+                const clock& time,
+                agent_parts parts = {});
 
   /// Ends at once unless the graceful stop has finished; tasks that run are
   /// then unknown to their entries.
@@ -74,7 +86,7 @@
   void RunLoop();
   void PostToLoop(std::function<void(agent_loop&)> work);
   void PostToQt(std::function<void()> work);
-  minion_client::listener ClientListener();
+  minion_port::listener ClientListener();
   announce_api::listener ApiListener();
 
   const agent_settings settings_;
@@ -86,7 +98,7 @@
   agent_loop* loop_ = nullptr;  // Used on the kj thread only.
   mutable std::mutex view_mutex_;
   agent_view view_;
-  minion_client client_;
+  std::unique_ptr<minion_port> client_;
   announce_api api_;
   std::thread thread_;
   QObject qt_context_;  // Receiver of queued calls; destroyed first.
--- a/src/jayrill/agent/agent_settings.h
+++ b/src/jayrill/agent/agent_settings.h
@@ -31,6 +31,12 @@
   /// Lower bound of the time after which a disconnected session counts as
   /// lost; three heartbeat intervals if that is longer.
   std::chrono::milliseconds session_lost_after{3000};
+  /// Silence of an entry after which its runs are stopped; zero: never. Its
+  /// callers may then have repeated their jobs elsewhere.
+  std::chrono::milliseconds run_silence{};
+  /// Interval between reports to an entry that has runs here, when run_silence
+  /// is set; their answers show that the entry lives.
+  std::chrono::milliseconds run_heartbeat{200};
   /// How long results of a disconnected session are kept.
   std::chrono::milliseconds result_keep{60'000};
   /// How long a slot stays busy after the deadline of its task while the
--- a/src/jayrill/agent/announce_api.cc
+++ b/src/jayrill/agent/announce_api.cc
@@ -21,7 +21,9 @@
 
 }  // namespace
 
-announce_api::announce_api(std::chrono::milliseconds ttl, listener owner)
+announce_api::announce_api(std::chrono::milliseconds ttl,
+                           listener owner,
+                           const route_adder& add_routes)
     : ttl_(ttl), listener_(std::move(owner)) {
   using method = QHttpServerRequest::Method;
   server_.route(QStringLiteral("/v1/announce"), method::Post,
@@ -38,6 +40,9 @@
     return QHttpServerResponse(QByteArrayLiteral("text/plain; version=0.0.4"),
                                QByteArray::fromStdString(listener_.metrics()));
   });
+  if (add_routes) {
+    add_routes(server_, listener_);
+  }
 }
 
 result<void> announce_api::Listen(const std::string& address) {
--- a/src/jayrill/agent/announce_api.h
+++ b/src/jayrill/agent/announce_api.h
@@ -24,7 +24,13 @@
     std::function<std::string()> metrics;
   };
 
-  announce_api(std::chrono::milliseconds ttl, listener owner);
+  /// Adds routes to a server that is not listening yet.
+  using route_adder = std::function<void(QHttpServer&, const listener&)>;
+
+  /// \p add_routes may be empty.
+  announce_api(std::chrono::milliseconds ttl,
+               listener owner,
+               const route_adder& add_routes = {});
 
   /// Listens on \p address (IP:port; port 0 lets the system choose).
   result<void> Listen(const std::string& address);
--- a/src/jayrill/agent/announcement.h
+++ b/src/jayrill/agent/announcement.h
@@ -1,12 +1,14 @@
 #ifndef JAYRILL_AGENT_ANNOUNCEMENT_H_
 #define JAYRILL_AGENT_ANNOUNCEMENT_H_
 
+#include <chrono>
 #include <compare>
 #include <cstdint>
 #include <string>
 #include <string_view>
 
 #include "jayrill/base/error.h"
+#include "jayrill/job/resource_amount.h"
 
 namespace jayrill {
 
@@ -19,6 +21,12 @@
   std::uint32_t cores = 0;
   std::uint32_t memory_mb = 0;
   std::uint32_t accelerators = 0;
+  std::string host;        ///< Address to call; empty: the agent's setting.
+  std::string instance;    ///< Name of the minion; empty: it has none.
+  std::uint64_t life = 0;  ///< Grows with each start of the minion.
+  resource_amount room;    ///< That its tasks share; 0 is not limited.
+  bool draining = false;   ///< It leaves soon and takes no new tasks.
+  std::chrono::milliseconds warming_up{};  ///< It is slow for this long.
 
   auto operator<=>(const announcement&) const = default;
 };
--- a/src/jayrill/agent/entry_link.cc
+++ b/src/jayrill/agent/entry_link.cc
@@ -160,6 +160,7 @@
                  std::chrono::milliseconds(welcome.getHeartbeatMs()),
                  shared_.core.Status());
   shared_.core.SetHeartbeat(schedule_.heartbeat());
+  shared_.core.OnHeard(entry_);
   shared_.core.OfferConfig(ToCopy(welcome.getConfig()));
   shared_.core.Welcome(entry_, welcome.getResumed());
   welcomed_ = true;
@@ -206,6 +207,9 @@
     return false;
   }
   schedule_.OnHeard(shared_.time.Now());
+  if (entry_.value != 0) {
+    shared_.core.OnHeard(entry_);
+  }
   return true;
 }
 
@@ -370,6 +374,18 @@
     return;
   }
   const steady_time now = shared_.time.Now();
+  const agent_settings& settings = shared_.settings;
+  if (shared_.core.HasGuardedRuns(entry_)) {
+    const steady_time heard = shared_.core.Session(entry_).heard();
+    if (now - heard > settings.run_silence) {
+      Drop("silent while its tasks run");
+      return;
+    }
+    if (now - std::max(heard, schedule_.reported()) >= settings.run_heartbeat) {
+      ScheduleReport();
+      return;
+    }
+  }
   if (schedule_.IsSilent(now)) {
     Drop("silent for three heartbeat intervals");
   } else if (schedule_.IsHeartbeatDue(now)) {
--- a/src/jayrill/agent/entry_session.h
+++ b/src/jayrill/agent/entry_session.h
@@ -59,6 +59,10 @@
     return connection_epoch{epoch_base_.value + gate_.epoch().value};
   }
 
+  /// The entry has sent something on the current connection.
+  void OnHeard(steady_time now) { heard_ = now; }
+  steady_time heard() const { return heard_; }
+
   bool connected() const { return connected_; }
   bool has_unsent() const { return !unsent_.empty(); }
   std::size_t unacknowledged() const { return results_.size(); }
@@ -79,6 +83,7 @@
   bool connected_ = false;
   bool lost_ = false;
   steady_time disconnected_at_;
+  steady_time heard_;
   std::map<start_number, task_result> results_;
   std::set<start_number> unsent_;
 };
--- a/src/jayrill/agent/internal/agent_loop.h
+++ b/src/jayrill/agent/internal/agent_loop.h
@@ -24,6 +24,8 @@
  public:
   /// Receives the calls of the minion, on the kj thread.
   using call_sink = std::function<void(task_call)>;
+  /// Receives the numbers of calls to stop, on the kj thread.
+  using stop_sink = std::function<void(std::uint64_t)>;
   /// Receives the state of the agent at each tick, on the kj thread.
   using view_sink = std::function<void(const agent_view&)>;
 
@@ -31,6 +33,7 @@
              const clock& time,
              work_queue& inbox,
              call_sink calls,
+             stop_sink stops,
              view_sink views);
   ~agent_loop() noexcept override;
 
@@ -48,6 +51,7 @@
  private:
   std::size_t connected_links() const;
   void Call(task_call call) override { calls_(std::move(call)); }
+  void StopCall(std::uint64_t call) override { stops_(call); }
   void ResultReady(incarnation entry) override;
   void StatusChanged() override;
   void PauseDetected() override;
@@ -63,6 +67,7 @@
   const clock& time_;
   work_queue& inbox_;
   call_sink calls_;
+  stop_sink stops_;
   view_sink views_;
   random_source random_;
   kj::AsyncIoContext io_;
--- a/src/jayrill/agent/internal/counters_text.cc
+++ b/src/jayrill/agent/internal/counters_text.cc
@@ -20,6 +20,8 @@
     {"succeeded", &agent_counters::succeeded},
     {"failed", &agent_counters::failed},
     {"unknown", &agent_counters::unknown},
+    {"interrupted", &agent_counters::interrupted},
+    {"silent_entries", &agent_counters::silent_entries},
     {"dropped_results", &agent_counters::dropped_results},
     {"pauses", &agent_counters::pauses},
     {"lost_sessions", &agent_counters::lost_sessions},
--- a/src/jayrill/agent/minion_client.h
+++ b/src/jayrill/agent/minion_client.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "jayrill/agent/agent_settings.h"
+#include "jayrill/agent/minion_port.h"
 #include "jayrill/agent/task_call.h"
 #include "jayrill/base/clock.h"
 #include "jayrill/job/task_result.h"
@@ -15,32 +16,23 @@
 namespace jayrill {
 
 /// Calls the minion over local HTTP. Lives on the Qt thread.
-class minion_client final {
+class minion_client final : public minion_port {
  public:
-  /// Receives the outcomes of the calls.
-  struct listener {
-    /// The outcome is known. Called once for each call.
-    std::function<void(std::uint64_t call, task_result outcome)> on_result;
-    /// The minion has answered or its connection is closed. Called once for
-    /// each call, after on_result.
-    std::function<void(std::uint64_t call)> on_slot_free;
-  };
-
   minion_client(const agent_settings& settings,
                 const clock& time,
                 listener owner);
-  ~minion_client();
+  ~minion_client() override;
   minion_client(const minion_client&) = delete;
   minion_client& operator=(const minion_client&) = delete;
 
-  void Run(const task_call& call);
+  void Run(const task_call& call) override;
 
   /// Whether calls are refused because the minion has left. Stops calls that
   /// were on their way between the threads when it left.
-  void SetLeft(bool left) { left_ = left; }
+  void SetLeft(bool left) override { left_ = left; }
 
   /// \returns the number of calls that have not ended.
-  std::uint32_t running() const { return running_; }
+  std::uint32_t running() const override { return running_; }
 
  private:
   struct manager {
--- /dev/null
+++ b/src/jayrill/agent/minion_port.h
@@ -0,0 +1,45 @@
+#ifndef JAYRILL_AGENT_MINION_PORT_H_
+#define JAYRILL_AGENT_MINION_PORT_H_
+
+#include <cstdint>
+#include <functional>
+
+#include "jayrill/agent/announcement.h"
+#include "jayrill/agent/task_call.h"
+#include "jayrill/job/task_result.h"
+
+namespace jayrill {
+
+/// Runs tasks on the minion beside the agent. Lives on the Qt thread.
+class minion_port {
+ public:
+  /// Receives the outcomes of the calls.
+  struct listener {
+    /// The outcome is known. Called once for each call.
+    std::function<void(std::uint64_t call, task_result outcome)> on_result;
+    /// The task uses the minion no more. Called once for each call, after
+    /// on_result.
+    std::function<void(std::uint64_t call)> on_slot_free;
+  };
+
+  virtual ~minion_port() = default;
+
+  virtual void Run(const task_call& call) = 0;
+
+  /// Stops \p call if the minion can do so; its outcome follows in any case.
+  virtual void Stop(std::uint64_t /*call*/) {}
+
+  /// The minion has said how it is.
+  virtual void OnAnnounced(const announcement& /*minion*/) {}
+
+  /// Whether calls are refused because the minion has left. Stops calls that
+  /// were on their way between the threads when it left.
+  virtual void SetLeft(bool left) = 0;
+
+  /// \returns the number of calls that have not ended.
+  virtual std::uint32_t running() const = 0;
+};
+
+}  // namespace jayrill
+
+#endif  // JAYRILL_AGENT_MINION_PORT_H_
--- a/src/jayrill/agent/module.cmake
+++ b/src/jayrill/agent/module.cmake
@@ -1,7 +1,8 @@
 jayrill_module(agent
   SOURCES agent_core.cc agent_process.cc announce_api.cc announcement.cc
-          entry_link.cc entry_session.cc minion_client.cc report_schedule.cc
+          entry_link.cc entry_session.cc leased_minion.cc minion_client.cc report_schedule.cc
           run_queue.cc internal/agent_loop.cc internal/counters_text.cc
           internal/minion_call.cc
-  DEPENDS jayrill_rpc jayrill_session jayrill_config jayrill_job glog::glog
+  DEPENDS jayrill_rpc jayrill_session jayrill_config jayrill_job
+          jayrill_store glog::glog
           Qt6::Core Qt6::Network Qt6::HttpServer)
--- a/src/jayrill/agent/report_schedule.h
+++ b/src/jayrill/agent/report_schedule.h
@@ -65,6 +65,9 @@
 
   std::chrono::milliseconds heartbeat() const { return heartbeat_; }
 
+  /// \returns when the last report was sent.
+  steady_time reported() const { return reported_; }
+
  private:
   std::chrono::milliseconds status_interval_;
   std::chrono::milliseconds heartbeat_{1000};
--- a/src/jayrill/agent/run_queue.cc
+++ b/src/jayrill/agent/run_queue.cc
@@ -21,14 +21,22 @@
   assert(!IsFull() && "check IsFull before Push");
   const rank place{Orderable(start.order.priority), ++arrivals_};
   ranks_[start_key(start.entry, start.order.number)] = place;
+  waiting_use_ += start.order.needs;
   waiting_.emplace(place, std::move(start));
 }
 
-std::optional<queued_start> run_queue::TakeNext(std::uint32_t slots) {
+std::optional<queued_start> run_queue::TakeNext(std::uint32_t slots,
+                                                const resource_amount& room) {
   if (busy_ >= slots || waiting_.empty()) {
     return std::nullopt;
   }
   const auto first = waiting_.begin();
+  const resource_amount needs = first->second.order.needs;
+  if (!IsWithin(running_use_ + needs, room)) {
+    return std::nullopt;
+  }
+  running_use_ += needs;
+  waiting_use_ -= needs;
   queued_start start = std::move(first->second);
   waiting_.erase(first);
   ranks_.erase(start_key(start.entry, start.order.number));
@@ -36,9 +44,11 @@
   return start;
 }
 
-void run_queue::Release(std::chrono::microseconds run_time) {
+void run_queue::Release(std::chrono::microseconds run_time,
+                        const resource_amount& needs) {
   assert(busy_ > 0 && "every release follows a TakeNext");
   --busy_;
+  running_use_ -= needs;
   if (run_time.count() <= 0) {
     return;
   }
@@ -57,6 +67,7 @@
   }
   auto node = waiting_.extract(found->second);
   ranks_.erase(found);
+  waiting_use_ -= node.mapped().order.needs;
   return std::move(node.mapped());
 }
 
@@ -69,6 +80,7 @@
       continue;
     }
     ranks_.erase(start_key(it->second.entry, it->second.order.number));
+    waiting_use_ -= it->second.order.needs;
     withdrawn.push_back(std::move(it->second));
     it = waiting_.erase(it);
   }
--- a/src/jayrill/agent/run_queue.h
+++ b/src/jayrill/agent/run_queue.h
@@ -39,11 +39,15 @@
 
   /// Takes the next start and marks a slot as busy.
   /// \returns nothing when no start waits or \p slots slots are busy.
-  std::optional<queued_start> TakeNext(std::uint32_t slots);
+  /// \p room is what the running tasks share. The first start waits until its
+  /// needs fit; later ones do not overtake it.
+  std::optional<queued_start> TakeNext(std::uint32_t slots,
+                                       const resource_amount& room = {});
 
   /// Frees a slot after a task that ran for \p run_time; the time is not
   /// learned when it is zero.
-  void Release(std::chrono::microseconds run_time);
+  void Release(std::chrono::microseconds run_time,
+               const resource_amount& needs = {});
 
   /// Takes the waiting start \p number of \p entry out.
   std::optional<queued_start> Withdraw(incarnation entry, start_number number);
@@ -56,6 +60,9 @@
   /// slots, from the mean of recent run times.
   std::chrono::microseconds ExpectedFree(std::uint32_t slots) const;
 
+  /// \returns what running and waiting starts use.
+  resource_amount used() const { return running_use_ + waiting_use_; }
+
   std::uint32_t busy() const { return busy_; }
   std::size_t waiting() const { return waiting_.size(); }
 
@@ -71,6 +78,8 @@
   std::size_t limit_;
   std::uint64_t arrivals_ = 0;
   std::uint32_t busy_ = 0;
+  resource_amount running_use_;
+  resource_amount waiting_use_;
   double mean_run_micros_ = 0;
   std::map<rank, queued_start> waiting_;
   std::map<start_key, rank> ranks_;
--- a/src/jayrill/base/clock.cc
+++ b/src/jayrill/base/clock.cc
@@ -1,11 +1,18 @@
 #include "jayrill/base/clock.h"
 
+#include <ctime>
+
 #include <cassert>
 
 namespace jayrill {
 
 steady_time system_clock::Now() const {
-  return std::chrono::steady_clock::now();
+  // Unlike CLOCK_MONOTONIC, it goes on while the machine is suspended, which is
+  // a pause of the process like any other.
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return steady_time(std::chrono::seconds(now.tv_sec) +
+                     std::chrono::nanoseconds(now.tv_nsec));
 }
 
 wall_time system_clock::WallNow() const {
--- a/src/jayrill/base/clock.h
+++ b/src/jayrill/base/clock.h
@@ -19,7 +19,7 @@
   virtual ~clock() = default;
 
   /// \returns the monotonic time, which also advances while the process is
-  /// stopped by a signal.
+  /// stopped by a signal and while the machine is suspended.
   virtual steady_time Now() const = 0;
 
   /// \returns the wall-clock time in milliseconds since the Unix epoch.
--- a/src/jayrill/cli/agent_role.cc
+++ b/src/jayrill/cli/agent_role.cc
@@ -1,17 +1,29 @@
+#include <absl/flags/flag.h>
 #include <glog/logging.h>
 
+#include <utility>
+
 #include "jayrill/agent/agent_process.h"
 #include "jayrill/base/clock.h"
 #include "jayrill/cli/command.h"
+#include "jayrill/cli/flags.h"
 #include "jayrill/cli/role_application.h"
 #include "jayrill/cli/role_settings.h"
+#include "platform/roles.h"
 
 namespace jayrill {
 
 int RunAgent(const command_input& /*input*/) {
   role_application application;
   const system_clock time;
-  agent_process agent(AgentSettingsFromFlags(), time);
+  platform::agent_adapter adapter(time);
+  agent_parts parts;
+  if (absl::GetFlag(FLAGS_platform)) {
+    lease_settings lease;
+    lease.lease = std::chrono::milliseconds(absl::GetFlag(FLAGS_lease_ms));
+    parts = adapter.Parts(lease);
+  }
+  agent_process agent(AgentSettingsFromFlags(), time, std::move(parts));
   agent.OnStopped([&application] { application.Finish(kExitOk); });
   if (const result<void> started = agent.Start(); !started) {
     return FailToStart("agent", started.error());
--- a/src/jayrill/cli/entry_role.cc
+++ b/src/jayrill/cli/entry_role.cc
@@ -1,15 +1,28 @@
+#include <absl/flags/flag.h>
+
+#include <utility>
+
 #include "jayrill/base/clock.h"
 #include "jayrill/cli/command.h"
+#include "jayrill/cli/flags.h"
 #include "jayrill/cli/role_application.h"
 #include "jayrill/cli/role_settings.h"
 #include "jayrill/entry/entry_process.h"
+#include "platform/roles.h"
 
 namespace jayrill {
 
 int RunEntry(const command_input& /*input*/) {
   role_application application;
   const system_clock time;
-  entry_process entry(EntrySettingsFromFlags(), time);
+  entry_settings settings = EntrySettingsFromFlags();
+  platform::entry_adapter adapter;
+  entry_parts parts;
+  if (absl::GetFlag(FLAGS_platform)) {
+    settings.limits.ready_agents = 1;
+    parts = adapter.Parts(settings);
+  }
+  entry_process entry(std::move(settings), time, std::move(parts));
   entry.OnStopped([&application] { application.Finish(kExitOk); });
   if (const result<void> started = entry.Start(); !started) {
     return FailToStart("entry", started.error());
--- a/src/jayrill/cli/flags.h
+++ b/src/jayrill/cli/flags.h
@@ -34,6 +34,13 @@
 ABSL_DECLARE_FLAG(std::string, faults);
 ABSL_DECLARE_FLAG(bool, record);
 ABSL_DECLARE_FLAG(bool, demo);
+ABSL_DECLARE_FLAG(bool, platform);
+ABSL_DECLARE_FLAG(std::string, health_listen);
+ABSL_DECLARE_FLAG(std::int64_t, repeat_after_ms);
+ABSL_DECLARE_FLAG(std::int64_t, lease_ms);
+ABSL_DECLARE_FLAG(std::int64_t, slow_start_ms);
+ABSL_DECLARE_FLAG(std::int64_t, stop_delay_ms);
+ABSL_DECLARE_FLAG(std::int64_t, stop_limit_ms);
 
 // Client commands.
 ABSL_DECLARE_FLAG(std::vector<std::string>, entry);
--- a/src/jayrill/cli/module.cmake
+++ b/src/jayrill/cli/module.cmake
@@ -5,7 +5,7 @@
           role_application.cc role_flags.cc role_settings.cc
           sample_backend_role.cc setting_rules.cc settings.cc settings_table.cc
           status_commands.cc standalone.cc standalone_role.cc stop_signal.cc submit_command.cc text_table.cc
-  DEPENDS jayrill_agent jayrill_base jayrill_entry jayrill_load jayrill_sample absl::flags
+  DEPENDS jayrill_agent jayrill_base jayrill_entry jayrill_load jayrill_platform jayrill_sample absl::flags
           absl::flags_reflection absl::strings glog::glog Qt6::Core
           Qt6::Network)
 
--- a/src/jayrill/cli/role_flags.cc
+++ b/src/jayrill/cli/role_flags.cc
@@ -72,3 +72,32 @@
           demo,
           false,
           "Submit a sample job, print the whole answer and stop");
+ABSL_FLAG(bool,
+          platform,
+          false,
+          "Speak the users' platform: its store, clients and minions");
+ABSL_FLAG(std::string,
+          health_listen,
+          "",
+          "Second address of the entry, for readiness and metrics only");
+ABSL_FLAG(std::int64_t,
+          repeat_after_ms,
+          0,
+          "How soon callers repeat a job whose connection broke; 0: never. No "
+          "run outlives it");
+ABSL_FLAG(std::int64_t,
+          lease_ms,
+          1000,
+          "Lease of runs at a minion that keeps them for its agent");
+ABSL_FLAG(std::int64_t,
+          slow_start_ms,
+          5000,
+          "Time over which a minion that joins gets its full share");
+ABSL_FLAG(std::int64_t,
+          stop_delay_ms,
+          0,
+          "Time for which a stopping entry still takes jobs");
+ABSL_FLAG(std::int64_t,
+          stop_limit_ms,
+          120000,
+          "Longest graceful stop of an agent");
--- a/src/jayrill/cli/role_settings.cc
+++ b/src/jayrill/cli/role_settings.cc
@@ -6,6 +6,17 @@
 
 namespace jayrill {
 
+namespace {
+
+/// Silence between an entry and an agent after which each acts as if the other
+/// were gone. Half of the time after which callers repeat their jobs leaves the
+/// other half for the ticks that find it and for the stop of the runs.
+std::chrono::milliseconds RunSilence() {
+  return std::chrono::milliseconds(absl::GetFlag(FLAGS_repeat_after_ms) / 2);
+}
+
+}  // namespace
+
 entry_settings EntrySettingsFromFlags() {
   entry_settings settings;
   settings.id = absl::GetFlag(FLAGS_id);
@@ -15,6 +26,12 @@
   settings.http_advertise = absl::GetFlag(FLAGS_http_advertise);
   settings.rpc_advertise = absl::GetFlag(FLAGS_rpc_advertise);
   settings.store_endpoints = absl::GetFlag(FLAGS_store_endpoints);
+  settings.health_listen = absl::GetFlag(FLAGS_health_listen);
+  settings.limits.run_silence = RunSilence();
+  settings.limits.slow_start =
+      std::chrono::milliseconds(absl::GetFlag(FLAGS_slow_start_ms));
+  settings.stop_delay =
+      std::chrono::milliseconds(absl::GetFlag(FLAGS_stop_delay_ms));
   settings.strategy = absl::GetFlag(FLAGS_placement_strategy);
   settings.operator_secret = absl::GetFlag(FLAGS_operator_secret);
   return settings;
@@ -28,6 +45,9 @@
   settings.rack = absl::GetFlag(FLAGS_rack);
   settings.http_address = absl::GetFlag(FLAGS_announce_listen);
   settings.entries = absl::GetFlag(FLAGS_entries);
+  settings.run_silence = RunSilence();
+  settings.stop_limit =
+      std::chrono::milliseconds(absl::GetFlag(FLAGS_stop_limit_ms));
   settings.queue_limit =
       static_cast<std::uint32_t>(absl::GetFlag(FLAGS_queue_limit));
   return settings;
--- a/src/jayrill/cli/setting_rules.cc
+++ b/src/jayrill/cli/setting_rules.cc
@@ -104,6 +104,11 @@
 }
 
 void CheckEntry(fault_list& faults) {
+  // Operators of the platform write to its store instead of calling entries.
+  faults.Expect(absl::GetFlag(FLAGS_platform) ||
+                    !absl::GetFlag(FLAGS_operator_secret).empty(),
+                "operator_secret", "", "the setting is required and not set",
+                "set JAYRILL_OPERATOR_SECRET");
   CheckAdvertised("http_advertise", absl::GetFlag(FLAGS_http_listen),
                   absl::GetFlag(FLAGS_http_advertise), faults);
   CheckAdvertised("rpc_advertise", absl::GetFlag(FLAGS_rpc_listen),
--- a/src/jayrill/cli/stop_signal.cc
+++ b/src/jayrill/cli/stop_signal.cc
@@ -15,6 +15,7 @@
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   PCHECK(pthread_sigmask(SIG_BLOCK, &signals, nullptr) == 0);
   const int descriptor = signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
   PCHECK(descriptor >= 0) << "signals: no signalfd";
@@ -40,6 +41,11 @@
   signalfd_siginfo info{};
   while (read(signal_fd_, &info, sizeof(info)) ==
          static_cast<ssize_t>(sizeof(info))) {
+    if (info.ssi_signo == SIGHUP) {
+      LOG(INFO) << "signals: reload asked for; settings come from flags and "
+                   "the environment and change with a restart only";
+      continue;
+    }
     if (stopped_) {
       LOG(INFO) << "signals: a stop is in progress; it ends when the work in "
                    "flight is done";
--- a/src/jayrill/config/cluster_config.cc
+++ b/src/jayrill/config/cluster_config.cc
@@ -17,4 +17,25 @@
   return found == profiles.end() ? kDefaultProfile : found->second;
 }
 
+const profile& cluster_config::ProfileOf(std::string_view service,
+                                         std::string_view name) const {
+  const auto found = name.empty() ? profiles.end() : profiles.find(name);
+  return found == profiles.end() ? ProfileOf(service) : found->second;
+}
+
+const std::string* cluster_config::FindRoute(std::string_view host,
+                                             std::string_view path) const {
+  const std::string* best = nullptr;
+  std::size_t longest = 0;
+  for (const auto& [name, candidate] : routes) {
+    const std::string& prefix = candidate.path_prefix;
+    if (candidate.host == host && path.starts_with(prefix) &&
+        (best == nullptr || prefix.size() > longest)) {
+      best = &name;
+      longest = prefix.size();
+    }
+  }
+  return best;
+}
+
 }  // namespace jayrill
--- a/src/jayrill/config/cluster_config.h
+++ b/src/jayrill/config/cluster_config.h
@@ -38,7 +38,13 @@
   std::uint32_t urgency = 50;  ///< 0 to 100; higher goes first.
   profile_limits limits;
   profile_placement placement;
-  config_revision changed;  ///< Revision of its last change.
+  /// Runs of a task that may fail before its job fails.
+  std::uint32_t attempts = 1;
+  /// The answer is in time within slack_factor times the longest run time of
+  /// a task and target_latency more. 0: no such objective.
+  double slack_factor = 0;
+  std::chrono::milliseconds target_latency{};
+  config_revision changed{};  ///< Revision of its last change.
 
   auto operator<=>(const profile&) const = default;
 };
@@ -51,6 +57,18 @@
   auto operator<=>(const service_binding&) const = default;
 };
 
+/// Where requests of callers go: by host and by the longest prefix that their
+/// path begins with. Used by adapters whose callers name no service.
+struct route {
+  std::string host;
+  std::string path_prefix;
+  std::string service;
+  std::string profile;
+  config_revision changed;
+
+  auto operator<=>(const route&) const = default;
+};
+
 /// The quota of a team; 0 means no limit.
 struct team_quota {
   std::uint32_t max_running = 0;  ///< Running tasks, over all entries.
@@ -88,6 +106,7 @@
   config_revision revision;
   std::map<std::string, profile, std::less<>> profiles;
   std::map<std::string, service_binding, std::less<>> services;
+  std::map<std::string, route, std::less<>> routes;
   std::map<std::string, team_quota, std::less<>> teams;
   std::map<std::string, data_centre_state, std::less<>> data_centres;
   std::vector<audit_record> audit;  ///< Oldest first; bounded.
@@ -100,6 +119,15 @@
   /// \returns the profile that \p service runs under; the built-in default
   /// profile when none is set.
   const profile& ProfileOf(std::string_view service) const;
+
+  /// \returns the profile \p name; the one of \p service when \p name is
+  /// empty or not known.
+  const profile& ProfileOf(std::string_view service,
+                           std::string_view name) const;
+
+  /// \returns the name of the route for \p path at \p host, or null.
+  const std::string* FindRoute(std::string_view host,
+                               std::string_view path) const;
 };
 
 }  // namespace jayrill
--- a/src/jayrill/config/config_codec.cc
+++ b/src/jayrill/config/config_codec.cc
@@ -46,6 +46,11 @@
     config.services[name] = {v.Text("profile"),
                              config_revision{v.Number("changed")}};
   });
+  json.ForEach("routes", [&](const std::string& name, const json_object& v) {
+    config.routes[name] = {v.Text("host"), v.Text("path_prefix"),
+                           v.Text("service"), v.Text("profile"),
+                           config_revision{v.Number("changed")}};
+  });
   json.ForEach("teams", [&](const std::string& name, const json_object& v) {
     config.teams[name] = {v.Number32("max_running"),
                           config_revision{v.Number("changed")}};
@@ -66,6 +71,7 @@
       {u"revision"_s, static_cast<qint64>(config.revision.value)},
       {u"profiles"_s, EncodeItems(config.profiles)},
       {u"services"_s, EncodeItems(config.services)},
+      {u"routes"_s, EncodeItems(config.routes)},
       {u"teams"_s, EncodeItems(config.teams)},
       {u"data_centres"_s, EncodeItems(config.data_centres)},
   };
--- a/src/jayrill/config/config_store.h
+++ b/src/jayrill/config/config_store.h
@@ -9,6 +9,7 @@
 #include "jayrill/base/random_source.h"
 #include "jayrill/config/config_change.h"
 #include "jayrill/config/config_holder.h"
+#include "jayrill/config/config_keeper.h"
 #include "jayrill/store/scheduler.h"
 #include "jayrill/store/store.h"
 
@@ -21,24 +22,15 @@
 /// Keeps the newest configuration of the store and submits changes to it.
 ///
 /// Belongs to the thread of the store.
-class config_store {
+class config_store final : public config_keeper {
  public:
-  using shared = config_holder::shared;
-
-  struct listener {
-    /// A configuration of a higher revision is in force at this process.
-    std::function<void(shared)> on_config;
-    /// The configuration in force is the newest one of the store as of now.
-    std::function<void()> on_confirmed;
-  };
-
   /// \p backing, \p timers and \p time must outlive this object.
   config_store(store& backing,
                scheduler& timers,
                const clock& time,
                random_source random,
                listener receiver);
-  ~config_store();
+  ~config_store() override;
 
   /// Makes \p change durable. \p done gets the revision at which it is in the
   /// audit trail, or an error. An error of kind kUnknownOutcome means that the
@@ -49,13 +41,12 @@
   /// read first, so a concurrent change of the same item is a conflict.
   void Submit(config_change change, store::callback<config_revision> done);
 
-  /// Offers a configuration that came through a session.
-  void Offer(shared config);
+  void Offer(shared config) override;
 
   /// Reads the whole audit trail with its archive, oldest record first.
   void ReadAudit(const store::callback<std::vector<audit_record>>& done);
 
-  const shared& current() const { return holder_.current(); }
+  const shared& current() const override { return holder_.current(); }
 
  private:
   struct submission;
--- a/src/jayrill/config/internal/config_json.cc
+++ b/src/jayrill/config/internal/config_json.cc
@@ -1,6 +1,7 @@
 #include "jayrill/config/internal/config_json.h"
 
 #include <QJsonArray>
+#include <cmath>
 #include <string>
 
 namespace jayrill::config::internal {
@@ -11,6 +12,8 @@
 // NOLINTNEXTLINE(google-build-using-namespace)
 using namespace Qt::StringLiterals;
 
+constexpr double kPermille = 1000;
+
 qint64 ToNumber(std::uint64_t value) {
   return static_cast<qint64>(value);
 }
@@ -24,6 +27,11 @@
   }
   return {
       {u"urgency"_s, ToNumber(value.urgency)},
+      {u"attempts"_s, ToNumber(value.attempts)},
+      // Thousandths, since the codec knows whole numbers only.
+      {u"slack_factor_permille"_s,
+       static_cast<qint64>(std::llround(value.slack_factor * kPermille))},
+      {u"target_latency_ms"_s, qint64{value.target_latency.count()}},
       {u"limits"_s,
        QJsonObject{
            {u"max_tasks"_s, ToNumber(value.limits.max_tasks)},
@@ -43,6 +51,13 @@
   return {{u"profile"_s, ToJsonText(value.profile)}};
 }
 
+QJsonObject ToJson(const route& value) {
+  return {{u"host"_s, ToJsonText(value.host)},
+          {u"path_prefix"_s, ToJsonText(value.path_prefix)},
+          {u"service"_s, ToJsonText(value.service)},
+          {u"profile"_s, ToJsonText(value.profile)}};
+}
+
 QJsonObject ToJson(const team_quota& value) {
   return {{u"max_running"_s, ToNumber(value.max_running)}};
 }
@@ -69,6 +84,13 @@
   if (json.Has("urgency")) {
     value.urgency = json.Number32("urgency");
   }
+  if (json.Has("attempts")) {
+    value.attempts = json.Number32("attempts");
+  }
+  value.slack_factor =
+      static_cast<double>(json.Number("slack_factor_permille")) / kPermille;
+  value.target_latency =
+      std::chrono::milliseconds(json.Number("target_latency_ms"));
   const json_object limits = json.Child("limits");
   value.limits.max_tasks = limits.Number32("max_tasks");
   value.limits.max_running = limits.Number32("max_running");
--- a/src/jayrill/config/internal/config_json.h
+++ b/src/jayrill/config/internal/config_json.h
@@ -12,6 +12,7 @@
 /// records and error messages show it.
 QJsonObject ToJson(const profile& value);
 QJsonObject ToJson(const service_binding& value);
+QJsonObject ToJson(const route& value);
 QJsonObject ToJson(const team_quota& value);
 QJsonObject ToJson(const data_centre_state& value);
 QJsonObject ToJson(const audit_record& value);
--- /dev/null
+++ b/src/jayrill/config/translated_config.cc
@@ -0,0 +1,76 @@
+#include "jayrill/config/translated_config.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace jayrill {
+
+namespace {
+
+/// \returns true when both say the same, whatever their revisions are.
+bool SayTheSame(cluster_config left, const cluster_config& right) {
+  left.revision = right.revision;
+  return left == right;
+}
+
+}  // namespace
+
+translated_config::translated_config(store& backing,
+                                     const config_translator& translator,
+                                     listener receiver)
+    : translator_(translator), listener_(std::move(receiver)) {
+  store::watch_listener watcher;
+  watcher.on_event = [this](const store_event& event) { OnEvent(event); };
+  watcher.on_confirmed = [] {};
+  watcher.on_progress = [this](store_revision as_of) { OnProgress(as_of); };
+  watcher.on_interrupted = [](const error& failure) {
+    LOG(WARNING) << "config: watch interrupted: " << ToString(failure);
+  };
+  watch_ = backing.Watch(translator_.Prefix(), std::move(watcher));
+}
+
+void translated_config::OnEvent(const store_event& event) {
+  changed_ = true;
+  newest_ = std::max(newest_, event.revision);
+  if (event.value) {
+    items_.insert_or_assign(event.key, *event.value);
+  } else {
+    items_.erase(event.key);
+  }
+}
+
+void translated_config::OnProgress(store_revision as_of) {
+  if (std::exchange(changed_, false)) {
+    result<cluster_config> translated = translator_.Translate(items_);
+    if (!translated) {
+      LOG(ERROR) << "config: " << ToString(translated.error()) << "; revision "
+                 << holder_.revision().value << " stays in force";
+      stored_ = nullptr;
+      return;
+    }
+    stored_ = std::make_shared<const cluster_config>(std::move(*translated));
+  }
+  if (!stored_ || as_of.value < holder_.revision().value) {
+    return;  // A session has brought what this watch has not seen yet.
+  }
+  if (holder_.revision().value == 0 ||
+      !SayTheSame(*stored_, *holder_.current())) {
+    cluster_config next = *stored_;
+    next.revision.value =
+        newest_.value > holder_.revision().value ? newest_.value : as_of.value;
+    Offer(std::make_shared<const cluster_config>(std::move(next)));
+  }
+  listener_.on_confirmed();
+}
+
+void translated_config::Offer(shared config) {
+  if (holder_.Offer(std::move(config))) {
+    LOG(INFO) << "config: revision " << holder_.revision().value
+              << " is in force here";
+    listener_.on_config(holder_.current());
+  }
+}
+
+}  // namespace jayrill
--- a/src/jayrill/entry/agent_server.cc
+++ b/src/jayrill/entry/agent_server.cc
@@ -39,7 +39,11 @@
       decided_(std::move(decided)),
       newer_config_(std::move(newer_config)),
       turn_ended_(std::move(turn_ended)),
-      core_(settings.data_centre, std::move(strategy), time, *this),
+      core_(settings.data_centre,
+            std::move(strategy),
+            time,
+            *this,
+            settings.limits),
       tasks_(*this) {
   tasks_.add(TickLoop());
 }
--- a/src/jayrill/entry/agent_session.cc
+++ b/src/jayrill/entry/agent_session.cc
@@ -59,11 +59,9 @@
   }
   effect.fenced = std::move(*fenced);
   effect.resumed = open_;
-  expected_ends_.erase(expected_ends_.upper_bound(hello.last_accepted),
-                       expected_ends_.end());
-  UpdateEarliestEnd();
+  ForgetStarts(hello.last_accepted);
   if (!open_) {
-    joined_ = ramp ? now : now - kSlowStartTime;
+    joined_ = ramp ? now : now - slow_start_;
     avoid_until_ = now;
   }
   const minion_status before = hello_.status;
@@ -91,9 +89,9 @@
 std::vector<agent_session::task_ref> agent_session::Close() {
   open_ = false;
   connected_ = false;
-  expected_ends_.clear();
-  earliest_end_ = {};
+  ForgetStarts(start_number{});
   other_load_ = 0;
+  other_use_ = {};
   health_.OnSessionEnd();
   return window_.Close();
 }
@@ -123,6 +121,7 @@
   const std::uint64_t own = window_.outstanding();
   other_load_ = static_cast<std::uint32_t>(
       std::min<std::uint64_t>(held > own ? held - own : 0, 1U << 30U));
+  other_use_ = status.used - own_use_;
   reported_free_ = now + status.expected_free;
 }
 
@@ -134,16 +133,28 @@
   in_service_ = in_service;
 }
 
+void agent_session::ForgetStarts(start_number above) {
+  const auto first = expected_ends_.upper_bound(above);
+  for (auto it = first; it != expected_ends_.end(); ++it) {
+    own_use_ -= it->second.needs;
+  }
+  expected_ends_.erase(first, expected_ends_.end());
+  UpdateEarliestEnd();
+}
+
 start_number agent_session::Send(task_ref task,
                                  steady_time now,
-                                 std::chrono::microseconds run_time) {
+                                 std::chrono::microseconds run_time,
+                                 const resource_amount& needs) {
   const start_number number = window_.Add(task);
   const std::chrono::duration<double, std::micro> expected =
       run_time * Slowness(now);
   const expected_end ends{
       now + std::chrono::duration_cast<steady_duration>(expected),
       std::chrono::duration_cast<std::chrono::microseconds>(expected *
-                                                            kLeastRemainder)};
+                                                            kLeastRemainder),
+      needs};
+  own_use_ += needs;
   expected_ends_.emplace_hint(expected_ends_.end(), number, ends);
   if (ends.end < earliest_end_.end) {
     earliest_end_ = ends;
@@ -155,8 +166,12 @@
 
 std::optional<agent_session::task_ref> agent_session::Take(
     start_number number) {
-  expected_ends_.erase(number);
-  UpdateEarliestEnd();
+  if (const auto found = expected_ends_.find(number);
+      found != expected_ends_.end()) {
+    own_use_ -= found->second.needs;
+    expected_ends_.erase(found);
+    UpdateEarliestEnd();
+  }
   return window_.Take(number);
 }
 
@@ -183,6 +198,7 @@
     case not_run_reason::kPaused:
     case not_run_reason::kConnectionRefused:
     case not_run_reason::kWrongService:
+    case not_run_reason::kRefused:
     case not_run_reason::kStaleConfig:
       avoid_until_ = now + kAvoidTime;
       break;
@@ -215,12 +231,14 @@
   view.slots = hello_.status.slots;
   view.outstanding = static_cast<std::uint32_t>(window_.outstanding());
   view.other_load = other_load_;
+  view.room = hello_.status.room;
+  view.used = own_use_ + other_use_;
   view.slowness = Slowness(now);
   view.last_start = last_start_;
   switch (health_.Permission(now)) {
     case minion_health::permission::kOpen: {
       const std::uint32_t limit =
-          now - joined_ >= kSlowStartTime
+          now - joined_ >= slow_start_
               ? view.slots
               : SlowStartLimit(joined_, now, view.slots);
       view.start_limit = limit < view.slots ? limit : view.slots + lookahead;
@@ -233,7 +251,9 @@
     case minion_health::permission::kClosed:
       break;
   }
-  if (view.Load() >= view.slots) {
+  const bool is_nearly_full = view.room.cpu_millis > 0 &&
+                              view.used.cpu_millis > view.room.cpu_millis / 2;
+  if (view.Load() >= view.slots || is_nearly_full) {
     view.expected_free = ExpectedFree(now);
   }
   return view;
--- a/src/jayrill/entry/agent_session.h
+++ b/src/jayrill/entry/agent_session.h
@@ -15,6 +15,7 @@
 #include "jayrill/entry/dispatch_port.h"
 #include "jayrill/placement/minion_health.h"
 #include "jayrill/placement/minion_view.h"
+#include "jayrill/placement/slow_start.h"
 #include "jayrill/session/start_window.h"
 
 namespace jayrill {
@@ -31,8 +32,13 @@
     std::vector<task_ref> lost;    ///< May have run.
   };
 
-  agent_session(agent_handle handle, std::string agent_id)
-      : handle_(handle), agent_id_(std::move(agent_id)) {}
+  /// \p slow_start: time over which a minion that joins gets its full share.
+  agent_session(agent_handle handle,
+                std::string agent_id,
+                std::chrono::milliseconds slow_start = kSlowStartTime)
+      : handle_(handle),
+        agent_id_(std::move(agent_id)),
+        slow_start_(slow_start) {}
 
   /// Opens or resumes the session on \p connection. \p ramp: a minion that
   /// joins gets a slow start.
@@ -62,7 +68,8 @@
   /// Notes that a start of \p task is sent.
   start_number Send(task_ref task,
                     steady_time now,
-                    std::chrono::microseconds run_time);
+                    std::chrono::microseconds run_time,
+                    const resource_amount& needs = {});
 
   /// Takes out the start that a result is for.
   std::optional<task_ref> Take(start_number number);
@@ -80,6 +87,14 @@
   /// \returns the minion as the placement strategies see it.
   minion_view View(steady_time now, std::uint32_t lookahead) const;
 
+  /// \returns how many tasks with \p needs the minion runs at a time.
+  double SlotsFor(const resource_amount& needs) const {
+    minion_view view;
+    view.slots = hello_.status.slots;
+    view.room = hello_.status.room;
+    return view.SlotsFor(needs);
+  }
+
   agent_info Info(steady_time now) const;
 
   agent_handle handle() const { return handle_; }
@@ -114,9 +129,11 @@
   std::chrono::microseconds ExpectedFree(steady_time now) const;
   std::chrono::microseconds EarliestOverdue(steady_time now) const;
   void UpdateEarliestEnd();
+  void ForgetStarts(start_number above);
 
   agent_handle handle_;
   std::string agent_id_;
+  std::chrono::milliseconds slow_start_;
   agent_hello hello_;
   start_window window_;
   connection_id connection_;
@@ -125,6 +142,7 @@
   struct expected_end {
     steady_time end = steady_time::max();
     std::chrono::microseconds least{};
+    resource_amount needs;
   };
 
   std::map<start_number, expected_end> expected_ends_;
@@ -137,6 +155,8 @@
   steady_time slowness_learned_at_;
   steady_time last_start_;
   std::uint32_t other_load_ = 0;
+  resource_amount own_use_;  ///< By the starts without a result.
+  resource_amount other_use_;
   std::uint64_t expected_push_ = 0;
   steady_time joined_;
   steady_time last_heard_;
--- a/src/jayrill/entry/agent_table.cc
+++ b/src/jayrill/entry/agent_table.cc
@@ -12,7 +12,8 @@
 
 }  // namespace
 
-agent_session& agent_table::Add(const std::string& agent_id) {
+agent_session& agent_table::Add(const std::string& agent_id,
+                                std::chrono::milliseconds slow_start) {
   const auto found = handles_.find(agent_id);
   if (found != handles_.end()) {
     return *sessions_.at(found->second);
@@ -20,8 +21,8 @@
   const agent_handle handle{++last_handle_};
   handles_.emplace(agent_id, handle);
   return *sessions_
-              .emplace(handle,
-                       std::make_unique<agent_session>(handle, agent_id))
+              .emplace(handle, std::make_unique<agent_session>(handle, agent_id,
+                                                               slow_start))
               .first->second;
 }
 
@@ -78,4 +79,10 @@
                     [](const auto& entry) { return entry.second->open(); }));
 }
 
+std::size_t agent_table::connected() const {
+  return static_cast<std::size_t>(std::count_if(
+      sessions_.begin(), sessions_.end(),
+      [](const auto& entry) { return entry.second->connected(); }));
+}
+
 }  // namespace jayrill
--- a/src/jayrill/entry/agent_table.h
+++ b/src/jayrill/entry/agent_table.h
@@ -1,6 +1,7 @@
 #ifndef JAYRILL_ENTRY_AGENT_TABLE_H_
 #define JAYRILL_ENTRY_AGENT_TABLE_H_
 
+#include <chrono>
 #include <cstddef>
 #include <functional>
 #include <map>
@@ -17,7 +18,8 @@
 class agent_table {
  public:
   /// \returns the session of the agent \p agent_id, a new one if need be.
-  agent_session& Add(const std::string& agent_id);
+  agent_session& Add(const std::string& agent_id,
+                     std::chrono::milliseconds slow_start);
 
   /// \returns the session, or null when the agent is forgotten.
   agent_session* Find(agent_handle handle);
@@ -38,6 +40,9 @@
   /// \returns how many agents have an open session.
   std::size_t open_sessions() const;
 
+  /// \returns how many agents are connected.
+  std::size_t connected() const;
+
   std::map<agent_handle, std::unique_ptr<agent_session>>& sessions() {
     return sessions_;
   }
--- a/src/jayrill/entry/dispatch_settings.h
+++ b/src/jayrill/entry/dispatch_settings.h
@@ -1,6 +1,8 @@
 #ifndef JAYRILL_ENTRY_DISPATCH_SETTINGS_H_
 #define JAYRILL_ENTRY_DISPATCH_SETTINGS_H_
 
+#include <chrono>
+#include <compare>
 #include <cstdint>
 #include <string>
 
@@ -8,6 +10,19 @@
 
 namespace jayrill {
 
+/// Times by which the dispatcher judges agents and minions.
+struct dispatch_limits {
+  /// Silence after which an agent with outstanding starts counts as lost;
+  /// zero: as without starts, by the heartbeat interval.
+  std::chrono::milliseconds run_silence{};
+  /// Agents that an entry needs to be ready.
+  std::uint32_t ready_agents = 0;
+  /// Time over which a minion that joins or returns gets its full share.
+  std::chrono::milliseconds slow_start{5000};
+
+  auto operator<=>(const dispatch_limits&) const = default;
+};
+
 /// Settings of the dispatcher side of an entry.
 struct dispatch_settings {
   std::string entry_id;
@@ -15,6 +30,7 @@
   std::string data_centre;
   std::string listen = "127.0.0.1:0";  ///< IP:port for agents; port 0: any.
   std::string strategy = "jayrill";
+  dispatch_limits limits;
   std::uint64_t random_seed = 0;  ///< For strategies that draw at random.
 };
 
--- a/src/jayrill/entry/dispatcher.cc
+++ b/src/jayrill/entry/dispatcher.cc
@@ -8,9 +8,11 @@
 dispatcher::dispatcher(std::string data_centre,
                        std::unique_ptr<placement_strategy> strategy,
                        const clock& time,
-                       dispatch_output& output)
+                       dispatch_output& output,
+                       dispatch_limits limits)
     : time_(time),
       output_(output),
+      limits_(limits),
       started_(time.Now()),
       placer_(std::move(strategy)),
       trust_(std::move(data_centre), started_),
@@ -83,7 +85,7 @@
                      "set the id of the agent");
   }
   const steady_time now = time_.Now();
-  agent_session& session = agents_.Add(hello.agent_id);
+  agent_session& session = agents_.Add(hello.agent_id, limits_.slow_start);
   const connection_id connection{++last_connection_};
   // Agents that were there before the entry are not new to their work.
   const bool ramp = now - started_ > kAgentSettle;
--- a/src/jayrill/entry/dispatcher.h
+++ b/src/jayrill/entry/dispatcher.h
@@ -15,6 +15,7 @@
 #include "jayrill/entry/config_trust.h"
 #include "jayrill/entry/dispatch_counters.h"
 #include "jayrill/entry/dispatch_output.h"
+#include "jayrill/entry/dispatch_settings.h"
 #include "jayrill/entry/job_table.h"
 #include "jayrill/entry/refusal.h"
 #include "jayrill/entry/task_placer.h"
@@ -51,7 +52,8 @@
   dispatcher(std::string data_centre,
              std::unique_ptr<placement_strategy> strategy,
              const clock& time,
-             dispatch_output& output);
+             dispatch_output& output,
+             dispatch_limits limits = {});
 
   // Events of the HTTP side; see dispatch_port.
   void Submit(job_id id, job_spec spec);
@@ -89,7 +91,10 @@
 
   /// \returns true when jobs are taken: there is a configuration, and agents
   /// have had the time to connect.
-  bool IsReady() const { return config_ != nullptr && IsSettled(); }
+  bool IsReady() const {
+    return config_ != nullptr && IsSettled() &&
+           agents_.connected() >= limits_.ready_agents;
+  }
 
   /// \returns true when the entry is cut off and must start nothing.
   bool IsIsolated() const;
@@ -108,10 +113,13 @@
     double fastest = 0;
   };
 
-  fleet_speed SpeedOf(const service_pool& pool) const;
-  std::chrono::microseconds IdealTime(const service_pool& pool,
+  fleet_speed SpeedOf(const service_pool& pool,
+                      const resource_amount& needs) const;
+  std::chrono::microseconds IdealTime(const fleet_speed& fleet,
                                       std::chrono::microseconds longest,
                                       std::chrono::microseconds work) const;
+  const profile& ProfileOf(const job_spec& spec) const;
+  void SetObjective(job_record& job, std::chrono::microseconds longest) const;
   std::chrono::microseconds LowerBound(const job_spec& spec,
                                        const task_spec& task) const;
   void Enqueue(job_record& job);
@@ -126,6 +134,9 @@
   void OnResult(agent_session& session, const task_result& result);
   void EndTask(agent_session& session, task_ref task, const task_result& end);
   void EndStart(job_record& job, std::uint32_t index);
+  bool MayRepeat(const job_record& job,
+                 std::uint32_t index,
+                 const task_result& end) const;
   void Retry(job_record& job, std::uint32_t index, const task_result& result);
   void Learn(const agent_session& session,
              const job_record& job,
@@ -148,10 +159,12 @@
   void CheckObstacles();
   void ExpireJobs();
   void OnPause();
+  void GiveUpRepeatable();
   void BeginEvent();
 
   const clock& time_;
   dispatch_output& output_;
+  const dispatch_limits limits_;
   steady_time started_;
   agent_table agents_;
   job_table jobs_;
--- a/src/jayrill/entry/dispatcher_jobs.cc
+++ b/src/jayrill/entry/dispatcher_jobs.cc
@@ -14,6 +14,10 @@
 constexpr double kLearnedPart = 0.7;
 constexpr double kDeclaredPart = 0.1;
 
+/// Part of the objective within which tasks are planned to end; the rest is for
+/// messages and for estimates that are too short.
+constexpr double kObjectivePart = 0.8;
+
 std::chrono::microseconds Scale(std::chrono::microseconds time, double factor) {
   return std::chrono::microseconds(
       static_cast<std::int64_t>(static_cast<double>(time.count()) * factor));
@@ -48,7 +52,7 @@
   if (auto reason = CheckEntry(state, spec)) {
     return reason;
   }
-  if (auto reason = CheckLimits(config_->ProfileOf(spec.service), spec)) {
+  if (auto reason = CheckLimits(ProfileOf(spec), spec)) {
     return reason;
   }
   return AdmitToService(spec);
@@ -66,8 +70,8 @@
     const bool may_pass = reason && reason->code == "no_minion";
     return may_pass && now - *since < kNoMinionGrace ? std::nullopt : reason;
   }
-  const profile& limits = config_->ProfileOf(spec.service);
-  const fleet_speed fleet = SpeedOf(pool);
+  const profile& limits = ProfileOf(spec);
+  const fleet_speed fleet = SpeedOf(pool, spec.tasks.front().needs);
   finish_estimate estimate;
   estimate.capacity = fleet.capacity;
   estimate.work =
@@ -82,7 +86,13 @@
   return CheckDeadline(estimate, spec.deadline);
 }
 
-dispatcher::fleet_speed dispatcher::SpeedOf(const service_pool& pool) const {
+const profile& dispatcher::ProfileOf(const job_spec& spec) const {
+  return config_->ProfileOf(spec.service, spec.profile);
+}
+
+dispatcher::fleet_speed dispatcher::SpeedOf(
+    const service_pool& pool,
+    const resource_amount& needs) const {
   const profile_placement& placement =
       config_->ProfileOf(pool.service()).placement;
   fleet_speed fleet;
@@ -90,7 +100,7 @@
     if (service_pool::Satisfies(*minion, placement) && minion->in_service() &&
         !minion->status().draining) {
       const double speed = 1.0 / minion->Slowness(time_.Now());
-      fleet.capacity += minion->status().slots * speed;
+      fleet.capacity += minion->SlotsFor(needs) * speed;
       fleet.fastest = std::max(fleet.fastest, speed);
     }
   }
@@ -110,7 +120,10 @@
   const auto binding = config_->services.find(job.spec.service);
   job.profile =
       binding == config_->services.end() ? "" : binding->second.profile;
-  job.urgency = config_->ProfileOf(job.spec.service).urgency;
+  if (!job.spec.profile.empty()) {
+    job.profile = job.spec.profile;
+  }
+  job.urgency = ProfileOf(job.spec).urgency;
   service_pool& pool = agents_.Pool(job.spec.service);
   std::chrono::microseconds longest{};
   std::chrono::microseconds work{};
@@ -124,19 +137,20 @@
   }
   // Strategies that bind early get the order of arrival, as a plain queue has.
   if (!placer_.BindsEarly()) {
-    job.ideal_time = IdealTime(pool, longest, work);
+    job.ideal_time =
+        IdealTime(SpeedOf(pool, job.spec.tasks.front().needs), longest, work);
   }
   job.expected_end = job.arrival + job.ideal_time;
+  SetObjective(job, longest);
   for (std::uint32_t i = 0; i < job.tasks.size(); ++i) {
     pool.Push(job.spec.team, job.Queued(i));
   }
 }
 
 std::chrono::microseconds dispatcher::IdealTime(
-    const service_pool& pool,
+    const fleet_speed& fleet,
     std::chrono::microseconds longest,
     std::chrono::microseconds work) const {
-  const fleet_speed fleet = SpeedOf(pool);
   if (fleet.capacity <= 0) {
     return longest;
   }
@@ -144,6 +158,19 @@
                   Scale(work, 1.0 / fleet.capacity));
 }
 
+void dispatcher::SetObjective(job_record& job,
+                              std::chrono::microseconds longest) const {
+  const profile& goal = ProfileOf(job.spec);
+  if (goal.slack_factor <= 0) {
+    return;
+  }
+  const std::chrono::microseconds objective =
+      Scale(longest, goal.slack_factor) + goal.target_latency;
+  job.due = job.arrival + objective;
+  job.expected_end = std::max(job.expected_end,
+                              job.arrival + Scale(objective, kObjectivePart));
+}
+
 void dispatcher::Refuse(job_id id, const refusal& reason) {
   ReportOutcome(id, MakeJobFailure(job_effect::kNotRun, reason.code,
                                    reason.message, reason.remedy));
--- a/src/jayrill/entry/dispatcher_results.cc
+++ b/src/jayrill/entry/dispatcher_results.cc
@@ -28,18 +28,39 @@
     ++counters_.wasted_messages;
   }
   Learn(session, *job, end, task.task_index);
-  job->collector.OnResult(task.task_index, end);
+  const bool repeat = MayRepeat(*job, task.task_index, end);
+  if (end.outcome == task_outcome::kFailed) {
+    ++job->tasks[task.task_index].failures;
+  }
+  if (repeat) {
+    job->collector.OnRunEnded(task.task_index);
+  } else {
+    job->collector.OnResult(task.task_index, end);
+  }
   if (job->decided) {
     jobs_.RemoveIfEnded(*job);
   } else if (job->collector.outcome()) {
     OnDecided(*job);
-  } else if (end.outcome == task_outcome::kNotRun) {
+  } else if (repeat || end.outcome == task_outcome::kNotRun) {
     Retry(*job, task.task_index, end);
   } else {
     --job->unfinished;
   }
 }
 
+bool dispatcher::MayRepeat(const job_record& job,
+                           std::uint32_t index,
+                           const task_result& end) const {
+  if (!job.spec.repeatable || job.decided) {
+    return false;
+  }
+  const task_record& task = job.tasks[index];
+  return (end.outcome == task_outcome::kInterrupted &&
+          task.starts < kMaxStartsOfRepeatable) ||
+         (end.outcome == task_outcome::kFailed &&
+          task.failures + 1 < ProfileOf(job.spec).attempts);
+}
+
 void dispatcher::EndStart(job_record& job, std::uint32_t index) {
   job.tasks[index].number = start_number{};
   --job.outstanding;
@@ -58,7 +79,7 @@
   }
   const std::uint64_t minion = session.handle().value;
   speeds_.Learn(job.spec.service, job.spec.tasks[index].kind, minion,
-                result.run_time);
+                result.run_time, job.spec.tasks[index].declared);
   agents_.Pool(job.spec.service).set_has_learned_times();
   agents_.Find(session.handle())
       ->SetSlowness(speeds_.Slowness(minion), time_.Now());
@@ -68,7 +89,9 @@
                        std::uint32_t index,
                        const task_result& result) {
   const task_record& task = job.tasks[index];
-  if (task.starts >= kMaxStartsPerTask || !retries_.TryTake()) {
+  const std::uint32_t most =
+      job.spec.repeatable ? kMaxStartsOfRepeatable : kMaxStartsPerTask;
+  if (task.starts >= most || !retries_.TryTake()) {
     const std::string reason = result.message.empty()
                                    ? std::string(ToString(result.reason))
                                    : result.message;
--- a/src/jayrill/entry/dispatcher_sending.cc
+++ b/src/jayrill/entry/dispatcher_sending.cc
@@ -17,6 +17,7 @@
 
 void dispatcher::OnPause() {
   ++counters_.pauses;
+  GiveUpRepeatable();
   const steady_time now = time_.Now();
   for (const auto& [handle, session] : agents_.sessions()) {
     session->OnPause(now);
@@ -27,6 +28,14 @@
   }
 }
 
+void dispatcher::GiveUpRepeatable() {
+  // Their callers may have asked another entry meanwhile.
+  for (const job_id id : jobs_.Repeatable()) {
+    FailJob(id, {"entry_paused", "the entry was stopped for a while",
+                 "submit again"});
+  }
+}
+
 void dispatcher::Tick() {
   BeginEvent();
   pause_.Tick();
@@ -46,12 +55,16 @@
   const auto lost_limit =
       std::max<std::chrono::milliseconds>(kSessionLostAfter, silent_limit);
   for (const auto& [handle, session] : agents_.sessions()) {
-    if (session->connected() && now - session->last_heard() > silent_limit) {
+    const bool has_starts =
+        limits_.run_silence.count() > 0 && session->outstanding() > 0;
+    const auto silent = has_starts ? limits_.run_silence : silent_limit;
+    const auto lost = has_starts ? limits_.run_silence : lost_limit;
+    if (session->connected() && now - session->last_heard() > silent) {
       output_.Disconnect(handle);
       session->Disconnect(session->connection(), session->last_heard());
     }
     if (session->open() && !session->connected() &&
-        now - session->disconnected_since() > lost_limit) {
+        now - session->disconnected_since() > lost) {
       LoseSession(*session, "the session with its agent was lost");
     }
   }
@@ -137,7 +150,8 @@
   task_record& record = job.tasks[task.index];
   const steady_time now = time_.Now();
   record.agent = session.handle();
-  record.number = session.Send({job.id, task.index}, now, task.run_time);
+  record.number =
+      session.Send({job.id, task.index}, now, task.run_time, task.needs);
   if (++record.starts == 1) {
     retries_.OnFirstStart();
   }
@@ -163,6 +177,10 @@
   order.service = job.spec.service;
   order.kind = spec.kind;
   order.payload = spec.payload;
+  order.job_name = job.spec.name;
+  order.attempt = record.starts;
+  order.needs = spec.needs;
+  order.expected_run = std::chrono::ceil<std::chrono::milliseconds>(expected);
   order.remaining =
       std::chrono::floor<std::chrono::milliseconds>(job.deadline - now);
   // Agents compare the priorities of several entries, whose monotonic clocks
--- a/src/jayrill/entry/entry_process.cc
+++ b/src/jayrill/entry/entry_process.cc
@@ -37,6 +37,7 @@
   dispatch.data_centre = settings.data_centre;
   dispatch.listen = settings.rpc_listen;
   dispatch.strategy = settings.strategy;
+  dispatch.limits = settings.limits;
   dispatch.random_seed = seed;
   return dispatch;
 }
@@ -45,15 +46,18 @@
 
 entry_process::entry_process(entry_settings settings,
                              const clock& time,
-                             store* backing)
+                             entry_parts parts)
     : settings_(std::move(settings)),
       time_(time),
       random_(random_source::FromSystem()),
       incarnation_{random_()},
-      store_(backing),
+      store_(parts.backing),
       dispatch_(DispatchSettings(settings_, incarnation_, random_()), time),
+      parts_(std::move(parts)),
       last_confirmed_(time.WallNow()) {
-  if (store_ == nullptr && settings_.store_endpoints.empty()) {
+  if (store_ == nullptr && parts_.make_store) {
+    own_store_ = parts_.make_store(timers_);
+  } else if (store_ == nullptr && settings_.store_endpoints.empty()) {
     own_store_ = std::make_unique<memory_store>(timers_, time_);
   } else if (store_ == nullptr) {
     own_store_ = std::make_unique<etcd_store>(
@@ -100,11 +104,16 @@
 }
 
 void entry_process::MakeStoreClients() {
-  config_ = std::make_unique<config_store>(
-      *store_, timers_, time_, random_source(random_()),
-      config_store::listener{
-          [this](const shared_config& config) { OnConfig(config); },
-          [this] { OnConfirmed(); }});
+  const config_keeper::listener listener{
+      [this](const shared_config& config) { OnConfig(config); },
+      [this] { OnConfirmed(); }};
+  if (parts_.translator != nullptr) {
+    config_ = std::make_unique<translated_config>(*store_, *parts_.translator,
+                                                  listener);
+  } else {
+    config_ = std::make_unique<config_store>(
+        *store_, timers_, time_, random_source(random_()), listener);
+  }
   ledger_ = std::make_unique<claim_ledger>(
       *store_, timers_, time_, random_source(random_()), incarnation_);
   claims_ = std::make_unique<ledger_claims>(*ledger_);
@@ -113,33 +122,50 @@
 void entry_process::MakeApis() {
   jobs_ = std::make_unique<job_api>(
       job_api_parts{dispatch_, *claims_, time_, metrics_,
-                    [this] { return dispatch_.View().config; }, incarnation_});
-  operators_ = std::make_unique<operator_api>(
-      operator_api_parts{*config_, metrics_, settings_.operator_secret,
-                         [this](const std::function<void(entry_status)>& done) {
-                           GetStatus([this, done](dispatch_status status) {
-                             done(Status(std::move(status)));
-                           });
-                         },
-                         [this] { return UnconfirmedSince(); }});
+                    [this] { return dispatch_.View().config; }, incarnation_,
+                    parts_.format != nullptr ? *parts_.format : json_format_});
   http_ = std::make_unique<http_server>(http_limits{}, metrics_);
+  if (parts_.other_requests) {
+    http_->RouteOthers([this](const exchange_ptr& exchange) {
+      parts_.other_requests(*this, exchange);
+    });
+  }
+  AddHealthRoutes(*http_, "/readyz");
+  if (!settings_.health_listen.empty()) {
+    health_ = std::make_unique<http_server>(http_limits{}, metrics_);
+    AddHealthRoutes(*health_, settings_.ready_path);
+  }
+  if (parts_.translator == nullptr) {
+    MakeOwnApis();
+  }
+}
+
+void entry_process::MakeOwnApis() {
+  operators_ = std::make_unique<operator_api>(operator_api_parts{
+      static_cast<config_store&>(*config_), metrics_, settings_.operator_secret,
+      [this](const std::function<void(entry_status)>& done) {
+        GetStatus([this, done](dispatch_status status) {
+          done(Status(std::move(status)));
+        });
+      },
+      [this] { return UnconfirmedSince(); }});
   http_->Route("/v1/jobs", method::Post, [this](const exchange_ptr& exchange) {
     jobs_->Handle(exchange);
   });
   operators_->AddRoutes(*http_);
-  AddHealthRoutes();
 }
 
-void entry_process::AddHealthRoutes() {
-  http_->Route("/healthz", method::Get, [](const exchange_ptr& exchange) {
+void entry_process::AddHealthRoutes(http_server& server,
+                                    const std::string& ready_path) {
+  server.Route("/healthz", method::Get, [](const exchange_ptr& exchange) {
     exchange->Reply({200, R"({"status":"ok"})"});
   });
-  http_->Route("/readyz", method::Get, [this](const exchange_ptr& exchange) {
+  server.Route(ready_path, method::Get, [this](const exchange_ptr& exchange) {
     const bool ready = IsReady();
     exchange->Reply({ready ? 200 : 503, ready ? R"({"status":"ready"})"
                                               : R"({"status":"not_ready"})"});
   });
-  http_->Route("/metrics", method::Get, [this](const exchange_ptr& exchange) {
+  server.Route("/metrics", method::Get, [this](const exchange_ptr& exchange) {
     GetStatus([this, exchange](const dispatch_status& status) {
       UpdateMetrics(status, metrics_);
       exchange->Reply(
@@ -148,17 +174,27 @@
   });
 }
 
-result<void> entry_process::Listen() {
-  const result<listen_address> address =
-      ParseListenAddress(settings_.http_listen);
+result<std::uint16_t> entry_process::Listen(http_server& server,
+                                            const std::string& text) {
+  const result<listen_address> address = ParseListenAddress(text);
   if (!address) {
     return tl::unexpected(address.error());
   }
-  const result<std::uint16_t> port = http_->Listen(address->ip, address->port);
+  return server.Listen(address->ip, address->port);
+}
+
+result<void> entry_process::Listen() {
+  const result<std::uint16_t> port = Listen(*http_, settings_.http_listen);
   if (!port) {
     return tl::unexpected(port.error());
   }
   http_port_ = *port;
+  if (health_) {
+    const auto health = Listen(*health_, settings_.health_listen);
+    if (!health) {
+      return tl::unexpected(health.error());
+    }
+  }
   return {};
 }
 
@@ -274,8 +310,16 @@
     return;
   }
   LOG(INFO) << "entry: stopping jobs=" << jobs_->pending_jobs();
-  jobs_->BeginDrain();
   http_->CloseAfterReplies();
+  if (settings_.stop_delay.count() == 0) {
+    BeginDrain();
+  } else {
+    timers_.After(settings_.stop_delay, guard_.Wrap([this] { BeginDrain(); }));
+  }
+}
+
+void entry_process::BeginDrain() {
+  jobs_->BeginDrain();
   dispatch_.Drain([done = guard_.Wrap([this] { OnDrained(); })] {
     PostToMainThread(done);
   });
--- a/src/jayrill/entry/entry_process.h
+++ b/src/jayrill/entry/entry_process.h
@@ -14,11 +14,13 @@
 #include "jayrill/base/snapshot.h"
 #include "jayrill/claim/claim_ledger.h"
 #include "jayrill/config/config_store.h"
+#include "jayrill/config/translated_config.h"
 #include "jayrill/entry/dispatch_service.h"
 #include "jayrill/entry/entry_settings.h"
 #include "jayrill/entry/entry_status.h"
 #include "jayrill/entry/http_server.h"
 #include "jayrill/entry/job_api.h"
+#include "jayrill/entry/job_format.h"
 #include "jayrill/entry/ledger_claims.h"
 #include "jayrill/entry/operator_api.h"
 #include "jayrill/membership/membership.h"
@@ -28,15 +30,30 @@
 
 namespace jayrill {
 
+class entry_process;
+
+/// Parts of an entry that an adapter may replace.
+struct entry_parts {
+  /// Makes the client of the store of the settings; empty: etcd_store.
+  std::function<std::unique_ptr<store>(scheduler&)> make_store;
+  /// Used in place of a store of the settings if it is not null.
+  store* backing = nullptr;
+  /// Reads the configuration of operators who do not call entries; null: the
+  /// operators of jayrill, see operator_api.
+  const config_translator* translator = nullptr;
+  const job_format* format = nullptr;  ///< Null: json_job_format.
+  /// Handles every request that is not one of jayrill's own; empty: 404.
+  std::function<void(entry_process&, const exchange_ptr&)> other_requests;
+};
+
 /// The entry role. Runs HTTP and the store client on the Qt main thread, which
 /// creates it, and the dispatcher on a thread of its own.
 class entry_process final {
  public:
-  /// \p backing is used in place of the store of the settings if it is not
-  /// null. It and \p time must outlive this object.
+  /// \p time and what \p parts refers to must outlive this object.
   entry_process(entry_settings settings,
                 const clock& time,
-                store* backing = nullptr);
+                entry_parts parts = {});
 
   /// Ends at once unless the graceful stop has finished.
   ~entry_process();
@@ -64,18 +81,33 @@
   /// \returns true when GET /readyz would answer 200.
   bool IsReady() const;
 
+  /// \returns true when the store has confirmed the configuration lately.
+  bool IsConfigConfirmed() const { return !UnconfirmedSince(); }
+
+  /// \returns the configuration in force, or null while there is none.
+  shared_config Config() const { return dispatch_.View().config; }
+
+  /// Runs the job in the body of \p exchange and answers it.
+  void HandleJob(const exchange_ptr& exchange) { jobs_->Handle(exchange); }
+
+  /// Passes the state of the dispatcher to \p done on the Qt thread.
+  void GetStatus(std::function<void(dispatch_status)> done);
+
  private:
   void MakeStoreClients();
   void MakeApis();
+  void MakeOwnApis();
   void JoinMembership();
-  void AddHealthRoutes();
+  void AddHealthRoutes(http_server& server, const std::string& ready_path);
   result<void> Listen();
+  static result<std::uint16_t> Listen(http_server& server,
+                                      const std::string& address);
+  void BeginDrain();
   void Tick();
   void OnConfig(const shared_config& config);
   void OnConfirmed();
   void OnEntries(const std::vector<entry_record>& entries);
   void OnStatus(dispatch_status status);
-  void GetStatus(std::function<void(dispatch_status)> done);
   std::optional<wall_time> UnconfirmedSince() const;
   entry_status Status(dispatch_status dispatch) const;
   void UpdateShares();
@@ -94,13 +126,16 @@
   std::unique_ptr<store> own_store_;
   store* store_;
   dispatch_service dispatch_;
-  std::unique_ptr<config_store> config_;
+  entry_parts parts_;
+  json_job_format json_format_;
+  std::unique_ptr<config_keeper> config_;
   std::unique_ptr<claim_ledger> ledger_;
   std::unique_ptr<ledger_claims> claims_;
   std::unique_ptr<membership> membership_;
   std::unique_ptr<job_api> jobs_;
   std::unique_ptr<operator_api> operators_;
   std::unique_ptr<http_server> http_;
+  std::unique_ptr<http_server> health_;
   QTimer tick_;
   std::uint16_t http_port_ = 0;
   std::uint16_t rpc_port_ = 0;
--- a/src/jayrill/entry/entry_settings.h
+++ b/src/jayrill/entry/entry_settings.h
@@ -6,6 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "jayrill/entry/dispatch_settings.h"
+
 namespace jayrill {
 
 /// Settings of one entry. Addresses are IP:port; port 0 lets the system choose.
@@ -21,6 +23,14 @@
   /// memory of this process, for standalone use.
   std::vector<std::string> store_endpoints;
   std::string strategy = "jayrill";
+  /// Second address, for health and metrics only; empty: none.
+  std::string health_listen;
+  /// Path on which health_listen tells whether the entry is ready.
+  std::string ready_path = "/readyz";
+  dispatch_limits limits;
+  /// How long an entry that stops still takes new jobs. It is not ready
+  /// meanwhile, so the load balancer moves callers to other entries.
+  std::chrono::milliseconds stop_delay{};
   std::string operator_secret;  ///< Empty: operator requests are refused.
   /// How long a graceful stop waits for the ends of claims to be stored.
   std::chrono::milliseconds claim_stop_limit{3000};
--- a/src/jayrill/entry/http_exchange.h
+++ b/src/jayrill/entry/http_exchange.h
@@ -2,6 +2,7 @@
 #define JAYRILL_ENTRY_HTTP_EXCHANGE_H_
 
 #include <QtCore/QByteArray>
+#include <chrono>
 #include <functional>
 #include <map>
 #include <string>
@@ -31,6 +32,8 @@
   int status = 200;
   std::string body;
   std::string content_type = "application/json";
+  /// When a refused request may come again, rounded up to seconds; 0: not said.
+  std::chrono::milliseconds retry_after{};
 };
 
 /// A request together with the way to answer it. Belongs to the Qt thread.
--- a/src/jayrill/entry/http_server.cc
+++ b/src/jayrill/entry/http_server.cc
@@ -28,12 +28,20 @@
       static_cast<QHttpServerResponder::StatusCode>(response.status);
   const QByteArray body = QByteArray::fromStdString(response.body);
   const QByteArray type = QByteArray::fromStdString(response.content_type);
-  if (closes) {
-    responder.write(body, {{"Content-Type", type}, {"Connection", "close"}},
+  const QByteArray connection = closes ? "close" : "keep-alive";
+  if (response.retry_after.count() == 0) {
+    responder.write(body, {{"Content-Type", type}, {"Connection", connection}},
                     status);
-  } else {
-    responder.write(body, {{"Content-Type", type}}, status);
+    return;
   }
+  const auto seconds =
+      std::chrono::ceil<std::chrono::seconds>(response.retry_after);
+  responder.write(body,
+                  {{"Content-Type", type},
+                   {"Connection", connection},
+                   {"Retry-After",
+                    QByteArray::number(static_cast<qint64>(seconds.count()))}},
+                  status);
 }
 
 int StatusOf(error_kind kind) {
@@ -122,6 +130,13 @@
   handle(exchange);
 }
 
+void http_server::RouteOthers(const handler& handle) {
+  server_.setMissingHandler([handle](const QHttpServerRequest& request,
+                                     QHttpServerResponder&& responder) {
+    Handle(handle, request, std::move(responder));
+  });
+}
+
 result<std::uint16_t> http_server::Listen(const std::string& address,
                                           std::uint16_t port) {
   if (!guard_->listen(QHostAddress(QString::fromStdString(address)), port)) {
--- a/src/jayrill/entry/http_server.h
+++ b/src/jayrill/entry/http_server.h
@@ -29,6 +29,9 @@
              QHttpServerRequest::Methods methods,
              const handler& handle);
 
+  /// Routes every request that no other route takes to \p handle.
+  void RouteOthers(const handler& handle);
+
   /// \returns the port; an error when \p address cannot be listened on.
   result<std::uint16_t> Listen(const std::string& address, std::uint16_t port);
 
--- a/src/jayrill/entry/job_api.cc
+++ b/src/jayrill/entry/job_api.cc
@@ -3,6 +3,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <sstream>
 #include <utility>
 
 #include "jayrill/claim/request_key.h"
@@ -33,11 +34,8 @@
                                                       : kGatewayTimeout;
 }
 
-void Answer(const exchange_ptr& exchange,
-            const std::string& id,
-            const job_outcome& outcome) {
-  exchange->Reply({HttpStatusOf(outcome), EncodeOutcome(id, outcome)});
-}
+/// Header by which callers name their requests.
+constexpr char kRequestIdHeader[] = "request-id";
 
 }  // namespace
 
@@ -54,21 +52,27 @@
   }
 }
 
+void job_api::Answer(const exchange_ptr& exchange,
+                     const std::string& id,
+                     const job_outcome& outcome) {
+  exchange->Reply(parts_.format.Encode(id, outcome));
+}
+
 void job_api::Handle(const exchange_ptr& exchange) {
-  result<job_spec> spec = DecodeJob(exchange->request().Body());
-  if (!spec) {
-    Refuse(exchange, {}, NotRun("invalid_request", spec.error()));
-    return;
-  }
   const shared_config config = parts_.config();
   if (!config) {
-    Refuse(exchange, *spec,
+    Refuse(exchange, {},
            NotRun("no_configuration", "this entry has no configuration yet",
                   "submit again after a second"));
     return;
   }
-  if (const auto refusal =
-          ApplyProfile(config->ProfileOf(spec->service), *spec)) {
+  auto spec = parts_.format.Decode(exchange->request(), *config);
+  if (!spec) {
+    Refuse(exchange, {}, tl::unexpected(spec.error()));
+    return;
+  }
+  if (const auto refusal = ApplyProfile(
+          config->ProfileOf(spec->service, spec->profile), *spec)) {
     Refuse(exchange, *spec, *refusal);
     return;
   }
@@ -136,6 +140,8 @@
   job->id = {parts_.entry, ++last_sequence_};
   job->spec = std::move(spec);
   job->arrived = parts_.time.Now();
+  job->request_id = exchange->request().Header(kRequestIdHeader);
+  job->tasks = job->spec.tasks.size();
   jobs_.emplace(job->id, job);
   Join(job, exchange);
   return job;
@@ -235,8 +241,7 @@
 }
 
 void job_api::Finish(const job_ptr& job, const job_outcome& outcome) {
-  Finish(job, outcome,
-         {HttpStatusOf(outcome), EncodeOutcome(ToString(job->id), outcome)});
+  Finish(job, outcome, parts_.format.Encode(ToString(job->id), outcome));
 }
 
 void job_api::Finish(const job_ptr& job,
@@ -247,6 +252,7 @@
     by_key_.erase(job->spec.request_key);
   }
   Count(job->spec, job->arrived, outcome);
+  LogDecision(*job, outcome);
   for (const exchange_ptr& caller : std::exchange(job->callers, {})) {
     caller->Reply(response);
   }
@@ -256,9 +262,40 @@
                      const job_spec& spec,
                      const job_outcome& outcome) {
   Count(spec, parts_.time.Now(), outcome);
+  active_job refused;
+  refused.spec = spec;
+  refused.tasks = spec.tasks.size();
+  refused.arrived = parts_.time.Now();
+  refused.request_id = exchange->request().Header(kRequestIdHeader);
+  LogDecision(refused, outcome);
   Answer(exchange, "", outcome);
 }
 
+void job_api::LogDecision(const active_job& job, const job_outcome& outcome) {
+  if (!log_.Allows(parts_.time.Now())) {
+    return;
+  }
+  const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(
+      parts_.time.Now() - job.arrived);
+  const shared_config config = parts_.config();
+  std::ostringstream line;
+  line << "job: " << (outcome ? "complete" : "failed")
+       << " request=" << job.request_id << " name=" << job.spec.name
+       << " id=" << ToString(job.id) << " service=" << job.spec.service
+       << " profile=" << job.spec.profile << " tasks=" << job.tasks
+       << " after_ms=" << waited.count()
+       << " deadline_ms=" << job.spec.deadline.count()
+       << " callers=" << job.callers.size()
+       << " config=" << (config ? config->revision.value : 0);
+  if (!outcome) {
+    line << " effect=" << ToString(outcome.error().effect)
+         << " code=" << outcome.error().code << " reason=\""
+         << outcome.error().message << "\"";
+  }
+  line << log_.TakeNote();
+  LOG(INFO) << line.str();
+}
+
 void job_api::Count(const job_spec& spec,
                     steady_time arrived,
                     const job_outcome& outcome) {
--- a/src/jayrill/entry/job_api.h
+++ b/src/jayrill/entry/job_api.h
@@ -10,10 +10,12 @@
 
 #include "jayrill/base/clock.h"
 #include "jayrill/base/ids.h"
+#include "jayrill/base/log_limit.h"
 #include "jayrill/entry/answer_cache.h"
 #include "jayrill/entry/claim_port.h"
 #include "jayrill/entry/dispatch_port.h"
 #include "jayrill/entry/http_exchange.h"
+#include "jayrill/entry/job_format.h"
 #include "jayrill/job/job_spec.h"
 #include "jayrill/metrics.h"
 
@@ -28,6 +30,7 @@
   /// \returns the configuration in force, or null while there is none.
   std::function<shared_config()> config;
   incarnation entry;
+  const job_format& format;
 };
 
 /// POST /v1/jobs: checks a job, claims it if it is not idempotent, runs it and
@@ -55,12 +58,18 @@
     wall_time key_time;  ///< Of a request key.
     /// The submitter and the resubmissions that joined.
     std::vector<exchange_ptr> callers;
+    std::string request_id;  ///< That the caller gave its request, for logs.
+    std::size_t tasks = 0;
   };
   using job_ptr = std::shared_ptr<active_job>;
 
   void Start(const exchange_ptr& exchange, job_spec spec);
   void StartClaimed(const exchange_ptr& exchange, job_spec spec);
   job_ptr AddJob(const exchange_ptr& exchange, job_spec spec);
+  void Answer(const exchange_ptr& exchange,
+              const std::string& id,
+              const job_outcome& outcome);
+  void LogDecision(const active_job& job, const job_outcome& outcome);
   void Join(const job_ptr& job, const exchange_ptr& exchange);
   void OnClaim(job_id id, const claim_decision& decision);
   void EndClaim(const active_job& job, const job_outcome& outcome);
@@ -85,6 +94,7 @@
   /// Undecided non-idempotent jobs by request key.
   std::unordered_map<std::string, job_ptr> by_key_;
   answer_cache answers_;
+  log_limit log_;
   /// Callbacks that come after the end of this object find it expired.
   std::shared_ptr<void> alive_;
 };
--- a/src/jayrill/entry/job_record.h
+++ b/src/jayrill/entry/job_record.h
@@ -21,6 +21,7 @@
   agent_handle agent;   ///< Of the outstanding start.
   start_number number;  ///< Of the outstanding start; 0 when there is none.
   std::uint32_t starts = 0;
+  std::uint32_t failures = 0;            ///< Runs that have failed.
   std::chrono::microseconds run_time{};  ///< Expected on the average minion.
 };
 
@@ -43,6 +44,8 @@
   steady_time deadline;
   /// Time that the job would need alone on the fleet, by the estimates.
   std::chrono::microseconds ideal_time{};
+  /// When the job has to end to be in time; zero: there is no such objective.
+  steady_time due;
   /// When the job is expected to end: its ideal end, or later when a task that
   /// was sent is expected to take longer.
   steady_time expected_end;
@@ -54,7 +57,15 @@
 
   /// \returns the queue entry of task \p index.
   queued_task Queued(std::uint32_t index) const {
-    return {id, index, urgency, arrival, tasks[index].run_time, ideal_time};
+    return {id,
+            index,
+            urgency,
+            arrival,
+            tasks[index].run_time,
+            ideal_time,
+            due,
+            tasks[index].failures > 0,
+            spec.tasks[index].needs};
   }
 };
 
--- a/src/jayrill/entry/job_table.cc
+++ b/src/jayrill/entry/job_table.cc
@@ -59,6 +59,16 @@
   return expired;
 }
 
+std::vector<job_id> job_table::Repeatable() const {
+  std::vector<job_id> found;
+  for (const auto& [id, job] : jobs_) {
+    if (!job->decided && job->spec.repeatable) {
+      found.push_back(id);
+    }
+  }
+  return found;
+}
+
 std::optional<steady_time> job_table::NextDeadline() const {
   if (deadlines_.empty()) {
     return std::nullopt;
--- a/src/jayrill/entry/job_table.h
+++ b/src/jayrill/entry/job_table.h
@@ -36,6 +36,9 @@
   /// \returns the next deadline of an undecided job.
   std::optional<steady_time> NextDeadline() const;
 
+  /// \returns the undecided jobs that their callers repeat.
+  std::vector<job_id> Repeatable() const;
+
   std::size_t undecided() const { return deadlines_.size(); }
   std::size_t payload_bytes() const { return payload_bytes_; }
 
--- a/src/jayrill/entry/module.cmake
+++ b/src/jayrill/entry/module.cmake
@@ -5,7 +5,7 @@
           dispatcher_results.cc dispatcher_sending.cc entry_port_server.cc
           entry_process.cc entry_status.cc guarded_socket.cc http_exchange.cc
           http_framer.cc http_guard.cc http_server.cc job_api.cc
-          job_refusals.cc job_table.cc ledger_claims.cc operator_api.cc
+          job_format.cc job_refusals.cc job_table.cc ledger_claims.cc operator_api.cc
           operator_auth.cc operator_change.cc service_pool.cc task_placer.cc
   DEPENDS jayrill_placement jayrill_rpc jayrill_session jayrill_config
           jayrill_job jayrill_metrics jayrill_claim jayrill_membership
--- a/src/jayrill/entry/task_placer.cc
+++ b/src/jayrill/entry/task_placer.cc
@@ -31,13 +31,14 @@
     const queued_task task = *next->position;
     const auto slack = std::chrono::duration_cast<std::chrono::microseconds>(
         expected_end(task) - now);
-    const auto choice =
-        strategy_->Prefer({task.run_time, slack, Waited(task, now)}, views_);
+    const auto choice = strategy_->Prefer(
+        {task.run_time, slack, Waited(task, now), task.has_failed, task.needs},
+        views_);
     if (!choice) {
       break;
     }
     if (!choice->start_now) {
-      Reserve(choice->index, task.run_time);
+      Reserve(choice->index, task);
       ++next->position;
       passed_over.emplace(task_key(task.job, task.index),
                           now - Waited(task, now));
@@ -113,11 +114,10 @@
   return best;
 }
 
-void task_placer::Reserve(std::size_t index,
-                          std::chrono::microseconds run_time) {
+void task_placer::Reserve(std::size_t index, const queued_task& task) {
   minion_view& view = views_[index];
-  const double share = static_cast<double>(run_time.count()) * view.slowness /
-                       std::max<std::uint32_t>(view.slots, 1);
+  const double share = static_cast<double>(task.run_time.count()) *
+                       view.slowness / std::max(view.SlotsFor(task.needs), 1.0);
   view.expected_free +=
       std::chrono::microseconds(static_cast<std::int64_t>(share));
 }
--- a/src/jayrill/entry/task_placer.h
+++ b/src/jayrill/entry/task_placer.h
@@ -56,7 +56,7 @@
   void MakeCursors(service_pool& pool, const quota_check& may_start);
   bool AnyCanStart() const;
   cursor* NextCursor();
-  void Reserve(std::size_t index, std::chrono::microseconds run_time);
+  void Reserve(std::size_t index, const queued_task& task);
   std::chrono::microseconds Waited(const queued_task& task,
                                    steady_time now) const;
 
--- a/src/jayrill/job/job_collector.cc
+++ b/src/jayrill/job/job_collector.cc
@@ -46,6 +46,7 @@
           "task_failed",
           "task " + std::to_string(task_index) + " failed: " + result.message,
           "correct the task or the service and submit a new job");
+    case task_outcome::kInterrupted:
     case task_outcome::kUnknown:
       state = task_state::kUnknown;
       return Fail(
@@ -57,6 +58,13 @@
   return false;
 }
 
+void job_collector::OnRunEnded(std::uint32_t task_index) {
+  if (task_index < states_.size() && states_[task_index] == task_state::kSent) {
+    states_[task_index] = task_state::kWaiting;
+    has_run_ = true;
+  }
+}
+
 bool job_collector::Fail(std::string code,
                          std::string message,
                          std::string remedy) {
@@ -75,7 +83,7 @@
   if (has(task_state::kSent) || has(task_state::kUnknown)) {
     return job_effect::kMayHaveRun;
   }
-  if (has(task_state::kFailed) || has(task_state::kSucceeded)) {
+  if (has_run_ || has(task_state::kFailed) || has(task_state::kSucceeded)) {
     return job_effect::kRanAndFailed;
   }
   return job_effect::kNotRun;
--- a/src/jayrill/job/job_collector.h
+++ b/src/jayrill/job/job_collector.h
@@ -31,6 +31,10 @@
   /// \returns false when the result was dropped as late or doubled.
   bool OnResult(std::uint32_t task_index, const task_result& result);
 
+  /// A run of \p task_index has ended without a result that counts; the task
+  /// becomes startable again, but something has run.
+  void OnRunEnded(std::uint32_t task_index);
+
   /// Decides the job as failed, for example at its deadline. The effect is
   /// computed from the state of the tasks.
   /// \returns false when the job was already decided.
@@ -60,6 +64,7 @@
   std::vector<task_state> states_;
   std::vector<std::string> results_;
   std::size_t succeeded_ = 0;
+  bool has_run_ = false;  ///< Some run has ended without a result.
   std::optional<job_outcome> outcome_;
 };
 
--- a/src/jayrill/job/job_outcome.h
+++ b/src/jayrill/job/job_outcome.h
@@ -1,6 +1,7 @@
 #ifndef JAYRILL_JOB_JOB_OUTCOME_H_
 #define JAYRILL_JOB_JOB_OUTCOME_H_
 
+#include <chrono>
 #include <compare>
 #include <string>
 #include <string_view>
@@ -23,6 +24,8 @@
   std::string code;     ///< Stable, in snake case, for programs.
   std::string message;  ///< What went wrong, for people.
   std::string remedy;   ///< What the caller can do.
+  /// When a job that has not run may come again.
+  std::chrono::milliseconds retry_after{1000};
 
   auto operator<=>(const job_failure&) const = default;
 };
--- /dev/null
+++ b/src/jayrill/job/resource_amount.h
@@ -0,0 +1,59 @@
+#ifndef JAYRILL_JOB_RESOURCE_AMOUNT_H_
+#define JAYRILL_JOB_RESOURCE_AMOUNT_H_
+
+#include <compare>
+#include <cstdint>
+
+namespace jayrill {
+
+/// Resources of a worker that tasks share, besides the slots of its minion.
+///
+/// As a capacity, 0 says that the resource is not limited, so that a minion
+/// that states only its slots needs nothing else.
+struct resource_amount {
+  std::uint32_t cpu_millis = 0;  ///< Thousandths of a core.
+  std::uint32_t memory_mb = 0;
+  std::uint32_t accelerators = 0;
+
+  auto operator<=>(const resource_amount&) const = default;
+
+  resource_amount& operator+=(const resource_amount& other) {
+    cpu_millis += other.cpu_millis;
+    memory_mb += other.memory_mb;
+    accelerators += other.accelerators;
+    return *this;
+  }
+
+  /// Subtracts \p other, down to 0.
+  resource_amount& operator-=(const resource_amount& other) {
+    cpu_millis -= cpu_millis < other.cpu_millis ? cpu_millis : other.cpu_millis;
+    memory_mb -= memory_mb < other.memory_mb ? memory_mb : other.memory_mb;
+    accelerators -=
+        accelerators < other.accelerators ? accelerators : other.accelerators;
+    return *this;
+  }
+
+  friend resource_amount operator+(resource_amount left,
+                                   const resource_amount& right) {
+    return left += right;
+  }
+  friend resource_amount operator-(resource_amount left,
+                                   const resource_amount& right) {
+    return left -= right;
+  }
+};
+
+/// \returns true when \p used is within \p capacity.
+inline bool IsWithin(const resource_amount& used,
+                     const resource_amount& capacity) {
+  const auto holds = [](std::uint32_t amount, std::uint32_t limit) {
+    return limit == 0 || amount <= limit;
+  };
+  return holds(used.cpu_millis, capacity.cpu_millis) &&
+         holds(used.memory_mb, capacity.memory_mb) &&
+         holds(used.accelerators, capacity.accelerators);
+}
+
+}  // namespace jayrill
+
+#endif  // JAYRILL_JOB_RESOURCE_AMOUNT_H_
--- a/src/jayrill/job/start_order.h
+++ b/src/jayrill/job/start_order.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "jayrill/base/ids.h"
+#include "jayrill/job/resource_amount.h"
 
 namespace jayrill {
 
@@ -19,7 +20,12 @@
   std::string kind;
   std::string payload;
   std::chrono::milliseconds remaining{};  ///< Until the job's deadline.
-  double priority = 0;  ///< Lower runs first in the agent's queue.
+  double priority = 0;        ///< Lower runs first in the agent's queue.
+  std::string job_name;       ///< As in job_spec.
+  std::uint32_t attempt = 1;  ///< Counts the starts of the task, from 1.
+  resource_amount needs;      ///< Beside a slot of the minion.
+  /// Run time that the entry expects on this minion; 0: not known.
+  std::chrono::milliseconds expected_run{};
 
   auto operator<=>(const start_order&) const = default;
 };
--- a/src/jayrill/job/task_result.cc
+++ b/src/jayrill/job/task_result.cc
@@ -24,6 +24,8 @@
       return "queue_full";
     case not_run_reason::kConnectionRefused:
       return "connection_refused";
+    case not_run_reason::kRefused:
+      return "refused";
     case not_run_reason::kWrongService:
       return "wrong_service";
   }
--- a/src/jayrill/job/task_result.h
+++ b/src/jayrill/job/task_result.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "jayrill/base/ids.h"
+#include "jayrill/job/resource_amount.h"
 
 namespace jayrill {
 
@@ -16,6 +17,9 @@
   kFailed,   ///< Ran; the minion reported a failure.
   kNotRun,   ///< Did not run and will not; may be placed elsewhere.
   kUnknown,  ///< May have run; must not be placed again.
+  /// Ran without a result and does not run any more; a repeatable job may
+  /// start the task again.
+  kInterrupted,
 };
 
 /// Why an agent did not run a start.
@@ -31,6 +35,7 @@
   kQueueFull,
   kConnectionRefused,
   kWrongService,
+  kRefused,  ///< The minion has refused the start.
 };
 
 /// Result of one start, as the agent reports it.
@@ -60,6 +65,10 @@
   std::uint32_t accelerators = 0;
   /// Estimated time until a new start would get a slot.
   std::chrono::microseconds expected_free{};
+  resource_amount room;  ///< That the tasks of the minion share.
+  resource_amount used;  ///< Of the room, by running and waiting starts.
+  /// How long the minion will be slow because it has just started.
+  std::chrono::milliseconds warming_up{};
 
   auto operator<=>(const minion_status&) const = default;
 };
--- a/src/jayrill/placement/minion_view.h
+++ b/src/jayrill/placement/minion_view.h
@@ -1,11 +1,13 @@
 #ifndef JAYRILL_PLACEMENT_MINION_VIEW_H_
 #define JAYRILL_PLACEMENT_MINION_VIEW_H_
 
+#include <algorithm>
 #include <chrono>
 #include <compare>
 #include <cstdint>
 
 #include "jayrill/base/clock.h"
+#include "jayrill/job/resource_amount.h"
 
 namespace jayrill {
 
@@ -28,6 +30,8 @@
   std::uint32_t start_limit = 0;
   /// The minion is closed by its circuit breaker and due for a trial task.
   bool is_trial_due = false;
+  resource_amount room{};    ///< That its tasks share; 0 is not limited.
+  resource_amount used{};    ///< By the starts of all entries, as believed.
   double slowness = 1.0;     ///< Run time relative to the average minion.
   steady_time last_start{};  ///< Of this entry; the earliest time: none yet.
   /// Estimated time until a slot is free, when none is.
@@ -38,17 +42,37 @@
   /// \returns all starts that the minion is believed to hold.
   std::uint32_t Load() const { return outstanding + other_load; }
 
-  /// \returns true when a start is believed to get a slot at once.
-  bool HasFreeSlot() const {
-    return Load() < slots && outstanding < start_limit;
+  /// \returns true when a slot and the room for \p needs are free.
+  bool HasRoom(const resource_amount& needs = {}) const {
+    return Load() < slots && IsWithin(used + needs, room);
   }
 
-  /// \returns true when a start may be sent now: a slot is free, or one is
+  /// \returns true when a start is believed to get a slot and its room at
+  /// once.
+  bool HasFreeSlot(const resource_amount& needs = {}) const {
+    return outstanding < start_limit && HasRoom(needs);
+  }
+
+  /// \returns true when a start may be sent now: there is room for it, or it is
   /// expected to be within kLookaheadWait and the look-ahead is not used up.
-  bool CanStart() const {
+  bool CanStart(const resource_amount& needs = {}) const {
     return outstanding < start_limit &&
-           (Load() < slots ||
-            (Load() == slots && expected_free <= kLookaheadWait));
+           (HasRoom(needs) || (Load() <= slots && IsWithin(used, room) &&
+                               expected_free <= kLookaheadWait));
+  }
+
+  /// \returns how many tasks with \p needs run at a time.
+  double SlotsFor(const resource_amount& needs) const {
+    double count = slots;
+    if (room.cpu_millis > 0 && needs.cpu_millis > 0) {
+      count = std::min(count,
+                       static_cast<double>(room.cpu_millis) / needs.cpu_millis);
+    }
+    if (room.memory_mb > 0 && needs.memory_mb > 0) {
+      count = std::min(count,
+                       static_cast<double>(room.memory_mb) / needs.memory_mb);
+    }
+    return count;
   }
 };
 
--- a/src/jayrill/placement/placement_strategy.cc
+++ b/src/jayrill/placement/placement_strategy.cc
@@ -108,7 +108,7 @@
       const task_demand& task,
       std::span<const minion_view> minions) {
     for (std::size_t i = 0; i < minions.size() && !task.has_failed; ++i) {
-      if (minions[i].is_trial_due && minions[i].HasFreeSlot()) {
+      if (minions[i].is_trial_due && minions[i].HasFreeSlot(task.needs)) {
         return placement_choice{i, true};
       }
     }
@@ -124,7 +124,7 @@
         (kSlackMargin * static_cast<double>(task.run_time.count() + 1));
     for (std::size_t i = 0; i < minions.size(); ++i) {
       const minion_view& minion = minions[i];
-      if (!minion.HasFreeSlot() || minion.slowness > limit) {
+      if (!minion.HasFreeSlot(task.needs) || minion.slowness > limit) {
         continue;
       }
       if (!best || minion.slowness > minions[best->index].slowness) {
@@ -163,10 +163,10 @@
       if (minion.start_limit == 0) {
         continue;
       }
-      const bool is_free = minion.HasFreeSlot();
-      const double wait = is_free ? 0.0 : Wait(minion);
+      const bool is_free = minion.HasFreeSlot(task.needs);
+      const double wait = is_free ? 0.0 : Wait(minion, task.needs);
       const double run = run_time * minion.slowness;
-      best.Offer(i, wait + run, run, minion.CanStart());
+      best.Offer(i, wait + run, run, minion.CanStart(task.needs));
       if (is_free) {
         best_free.Offer(i, run, run, true);
       }
@@ -203,7 +203,7 @@
       const minion_view& minion = minions[i];
       const double finish =
           static_cast<double>(task.run_time.count()) * minion.slowness;
-      if (!minion.HasFreeSlot() || finish > best * kSimilarFinish) {
+      if (!minion.HasFreeSlot(task.needs) || finish > best * kSimilarFinish) {
         continue;
       }
       if (!chosen || minion.last_start < minions[chosen->index].last_start) {
@@ -215,10 +215,10 @@
 
   /// A minion in slow start or trial frees no slot for this entry before a
   /// result; its expected time is not known, so a typical one is assumed.
-  static double Wait(const minion_view& minion) {
+  static double Wait(const minion_view& minion, const resource_amount& needs) {
     constexpr double kUnknownWaitMicros = 100'000;
     const auto expected = static_cast<double>(minion.expected_free.count());
-    return minion.Load() < minion.slots ? kUnknownWaitMicros : expected;
+    return minion.HasRoom(needs) ? kUnknownWaitMicros : expected;
   }
 };
 
--- a/src/jayrill/placement/placement_strategy.h
+++ b/src/jayrill/placement/placement_strategy.h
@@ -26,6 +26,7 @@
   std::chrono::microseconds waited{};
   /// The task has failed before; another failure may be one too many.
   bool has_failed = false;
+  resource_amount needs{};
 
   auto operator<=>(const task_demand&) const = default;
 };
--- a/src/jayrill/placement/retry_budget.h
+++ b/src/jayrill/placement/retry_budget.h
@@ -9,6 +9,9 @@
 /// Starts of one task, the first one included, before its job is given up.
 inline constexpr std::uint32_t kMaxStartsPerTask = 4;
 
+/// The same for a job whose runs may be repeated: its deadline ends it first.
+inline constexpr std::uint32_t kMaxStartsOfRepeatable = 16;
+
 /// Limits second starts to a fraction of first starts, so that retries cannot
 /// multiply the load while minions refuse work.
 class retry_budget {
--- a/src/jayrill/placement/speed_model.h
+++ b/src/jayrill/placement/speed_model.h
@@ -16,14 +16,17 @@
 /// finished tasks.
 ///
 /// Both are exponentially weighted means of logarithms, so that one straggler
-/// does not move them far. Declared times serve only until a kind has run.
+/// does not move them far. A declared time serves alone until its kind has run;
+/// then it counts as much as it has proved right, compared with the mean of the
+/// kind.
 class speed_model {
  public:
   /// Adds a finished task.
   void Learn(std::string_view service,
              std::string_view kind,
              std::uint64_t minion,
-             std::chrono::microseconds run_time);
+             std::chrono::microseconds run_time,
+             std::optional<std::chrono::milliseconds> declared = {});
 
   /// \returns the expected run time of a task on the average minion.
   std::chrono::microseconds ExpectedRunTime(
@@ -49,9 +52,20 @@
     std::uint32_t samples = 0;
   };
 
+  /// What is known of a kind. Errors are squares of differences of logarithms.
+  struct kind_estimate {
+    estimate run_time;
+    estimate declared_ratio;  ///< Run time over declared time.
+    double run_time_error = 0;
+    double declared_error = 0;
+  };
+
+  static double LogExpected(const kind_estimate& kind,
+                            std::optional<std::chrono::milliseconds> declared);
+
   using kind_key = std::pair<std::string, std::string>;
 
-  std::map<kind_key, estimate> kinds_;
+  std::map<kind_key, kind_estimate> kinds_;
   std::unordered_map<std::uint64_t, estimate> minions_;
 };
 
--- a/src/jayrill/placement/task_queue.cc
+++ b/src/jayrill/placement/task_queue.cc
@@ -17,8 +17,10 @@
 constexpr int kDueFactor = 4;
 
 steady_time LatestStart(const queued_task& task) {
-  return task.arrival + task.job_time * kDueFactor - task.run_time -
-         task.urgency * kUrgencyHeadStart;
+  const steady_time due = task.due == steady_time{}
+                              ? task.arrival + task.job_time * kDueFactor
+                              : task.due;
+  return due - task.run_time - task.urgency * kUrgencyHeadStart;
 }
 
 }  // namespace
--- a/src/jayrill/placement/task_queue.h
+++ b/src/jayrill/placement/task_queue.h
@@ -11,6 +11,7 @@
 
 #include "jayrill/base/clock.h"
 #include "jayrill/base/ids.h"
+#include "jayrill/job/resource_amount.h"
 
 namespace jayrill {
 
@@ -23,6 +24,10 @@
   std::chrono::microseconds run_time{};  ///< Expected on the average minion.
   /// Time that the whole job would need alone on the fleet.
   std::chrono::microseconds job_time{};
+  /// When the job has to end to be in time; zero: four times job_time.
+  steady_time due{};
+  bool has_failed = false;  ///< A run of the task has failed.
+  resource_amount needs{};
 
   auto operator<=>(const queued_task&) const = default;
 };
--- a/src/jayrill/rpc/codec.cc
+++ b/src/jayrill/rpc/codec.cc
@@ -37,6 +37,8 @@
       return wire::TaskOutcome::NOT_RUN;
     case task_outcome::kUnknown:
       return wire::TaskOutcome::UNKNOWN;
+    case task_outcome::kInterrupted:
+      return wire::TaskOutcome::INTERRUPTED;
   }
   return wire::TaskOutcome::UNKNOWN;
 }
@@ -51,15 +53,17 @@
       return task_outcome::kNotRun;
     case wire::TaskOutcome::UNKNOWN:
       return task_outcome::kUnknown;
+    case wire::TaskOutcome::INTERRUPTED:
+      return task_outcome::kInterrupted;
   }
   return task_outcome::kUnknown;
 }
 
 // The enumerators of not_run_reason and wire::NotRunReason have the same order.
 constexpr auto kLastReason =
-    static_cast<std::uint16_t>(not_run_reason::kWrongService);
+    static_cast<std::uint16_t>(not_run_reason::kRefused);
 static_assert(kLastReason ==
-              static_cast<std::uint16_t>(wire::NotRunReason::WRONG_SERVICE));
+              static_cast<std::uint16_t>(wire::NotRunReason::REFUSED));
 
 not_run_reason FromWire(wire::NotRunReason reason) {
   const auto number = static_cast<std::uint16_t>(reason);
@@ -67,6 +71,17 @@
                               : static_cast<not_run_reason>(number);
 }
 
+void EncodeAmount(const resource_amount& amount,
+                  wire::ResourceAmount::Builder wire) {
+  wire.setCpuMillis(amount.cpu_millis);
+  wire.setMemoryMb(amount.memory_mb);
+  wire.setAccelerators(amount.accelerators);
+}
+
+resource_amount DecodeAmount(wire::ResourceAmount::Reader wire) {
+  return {wire.getCpuMillis(), wire.getMemoryMb(), wire.getAccelerators()};
+}
+
 template <typename Value, typename List>
 std::vector<Value> DecodeList(List wire) {
   KJ_REQUIRE(wire.size() <= kMaxBatchItems, "too many items in one message",
@@ -91,6 +106,10 @@
   wire.setPayload(ToData(order.payload));
   wire.setRemainingMs(ToWireMillis(order.remaining));
   wire.setPriority(order.priority);
+  wire.setJobName(order.job_name);
+  wire.setAttempt(order.attempt);
+  wire.setExpectedRunMs(ToWireMillis(order.expected_run));
+  EncodeAmount(order.needs, wire.initNeeds());
 }
 
 void Encode(const task_result& result, wire::TaskResult::Builder wire) {
@@ -115,6 +134,9 @@
   wire.setMemoryMb(status.memory_mb);
   wire.setAccelerators(status.accelerators);
   wire.setExpectedFreeMicros(ToWireMicros(status.expected_free));
+  EncodeAmount(status.room, wire.initRoom());
+  EncodeAmount(status.used, wire.initUsed());
+  wire.setWarmingUpMs(ToWireMillis(status.warming_up));
 }
 
 start_order Decode(wire::Start::Reader wire) {
@@ -127,6 +149,10 @@
   order.payload = ToString(wire.getPayload());
   order.remaining = std::chrono::milliseconds(wire.getRemainingMs());
   order.priority = wire.getPriority();
+  order.job_name = ToString(wire.getJobName());
+  order.attempt = wire.getAttempt();
+  order.needs = DecodeAmount(wire.getNeeds());
+  order.expected_run = std::chrono::milliseconds(wire.getExpectedRunMs());
   return order;
 }
 
@@ -155,6 +181,9 @@
   status.memory_mb = wire.getMemoryMb();
   status.accelerators = wire.getAccelerators();
   status.expected_free = FromWireMicros(wire.getExpectedFreeMicros());
+  status.room = DecodeAmount(wire.getRoom());
+  status.used = DecodeAmount(wire.getUsed());
+  status.warming_up = std::chrono::milliseconds(wire.getWarmingUpMs());
   return status;
 }
 
--- a/src/jayrill/rpc/dispatch.capnp
+++ b/src/jayrill/rpc/dispatch.capnp
@@ -31,8 +31,9 @@
 interface AgentPort {
   start @0 (batch :StartBatch) -> ();
   cancel @1 (numbers :List(UInt64)) -> ();
-  # Withdraws starts that still wait for a slot. Each is answered by a result:
-  # notRun when it was withdrawn, its own outcome otherwise.
+  # Withdraws starts that still wait for a slot, and stops those that run where
+  # the minion can stop them. Each is answered by a result: notRun when it was
+  # withdrawn, interrupted when it was stopped, its own outcome otherwise.
 
   configure @2 (config :Config) -> (revision :UInt64);
   heartbeat @3 (entries :List(Text)) -> ();
@@ -79,6 +80,12 @@
   starts @2 :List(Start);
 }
 
+struct ResourceAmount {
+  cpuMillis @0 :UInt32;      # thousandths of a core
+  memoryMb @1 :UInt32;
+  accelerators @2 :UInt32;
+}
+
 struct Start {
   number @0 :UInt64;
   jobEntry @1 :UInt64;       # job id: entry incarnation and sequence
@@ -89,6 +96,10 @@
   payload @6 :Data;          # JSON
   remainingMs @7 :UInt32;    # time left to the job's deadline
   priority @8 :Float64;      # lower runs first in the agent's queue
+  jobName @9 :Text;
+  attempt @10 :UInt32;       # of the task, from 1
+  needs @11 :ResourceAmount; # beside a slot
+  expectedRunMs @12 :UInt32; # on this minion; 0: not known
 }
 
 enum TaskOutcome {
@@ -96,6 +107,7 @@
   failed @1;                 # ran; the minion reported a failure
   notRun @2;                 # did not run and will not
   unknown @3;                # may have run
+  interrupted @4;            # ran without a result and does not run any more
 }
 
 struct TaskResult {
@@ -120,6 +132,7 @@
   queueFull @8;
   connectionRefused @9;
   wrongService @10;
+  refused @11;
 }
 
 struct MinionStatus {
@@ -135,6 +148,9 @@
   accelerators @9 :UInt32;
   expectedFreeMicros @10 :UInt64;
   # Estimated time until a new start would get a slot.
+  room @11 :ResourceAmount;  # that the tasks of the minion share
+  used @12 :ResourceAmount;  # by running and waiting starts
+  warmingUpMs @13 :UInt32;   # how long the minion will be slow after its start
 }
 
 struct AgentReport {
--- a/src/jayrill/rpc/dispatch.capnp.h
+++ b/src/jayrill/rpc/dispatch.capnp.h
@@ -43,6 +43,7 @@
 CAPNP_DECLARE_SCHEMA(9314e51a09c847cb);
 CAPNP_DECLARE_SCHEMA(8d4c5b8618b3f790);
 CAPNP_DECLARE_SCHEMA(86a0811cd61eaef6);
+CAPNP_DECLARE_SCHEMA(e96bc21bb084c795);
 CAPNP_DECLARE_SCHEMA(82db2e55169b57c3);
 CAPNP_DECLARE_SCHEMA(963246573de25a1d);
 enum class TaskOutcome_963246573de25a1d: uint16_t {
@@ -50,6 +51,7 @@
   FAILED,
   NOT_RUN,
   UNKNOWN,
+  INTERRUPTED,
 };
 CAPNP_DECLARE_ENUM(TaskOutcome, 963246573de25a1d);
 CAPNP_DECLARE_SCHEMA(9d3a090755e74696);
@@ -66,6 +68,7 @@
   QUEUE_FULL,
   CONNECTION_REFUSED,
   WRONG_SERVICE,
+  REFUSED,
 };
 CAPNP_DECLARE_ENUM(NotRunReason, da2e727229e455cb);
 CAPNP_DECLARE_SCHEMA(f9f29e2b788cb5a1);
@@ -459,6 +462,21 @@
   };
 };
 
+struct ResourceAmount {
+  ResourceAmount() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e96bc21bb084c795, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Start {
   Start() = delete;
 
@@ -467,7 +485,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(82db2e55169b57c3, 5, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(82db2e55169b57c3, 6, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -501,7 +519,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f9f29e2b788cb5a1, 6, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(f9f29e2b788cb5a1, 7, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2502,6 +2520,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class ResourceAmount::Reader {
+public:
+  typedef ResourceAmount Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getCpuMillis() const;
+
+  inline  ::uint32_t getMemoryMb() const;
+
+  inline  ::uint32_t getAccelerators() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ResourceAmount::Builder {
+public:
+  typedef ResourceAmount Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getCpuMillis();
+  inline void setCpuMillis( ::uint32_t value);
+
+  inline  ::uint32_t getMemoryMb();
+  inline void setMemoryMb( ::uint32_t value);
+
+  inline  ::uint32_t getAccelerators();
+  inline void setAccelerators( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ResourceAmount::Pipeline {
+public:
+  typedef ResourceAmount Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Start::Reader {
 public:
   typedef Start Reads;
@@ -2540,6 +2644,16 @@
 
   inline double getPriority() const;
 
+  inline bool hasJobName() const;
+  inline  ::capnp::Text::Reader getJobName() const;
+
+  inline  ::uint32_t getAttempt() const;
+
+  inline bool hasNeeds() const;
+  inline  ::jayrill::wire::ResourceAmount::Reader getNeeds() const;
+
+  inline  ::uint32_t getExpectedRunMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2607,6 +2721,26 @@
   inline double getPriority();
   inline void setPriority(double value);
 
+  inline bool hasJobName();
+  inline  ::capnp::Text::Builder getJobName();
+  inline void setJobName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initJobName(unsigned int size);
+  inline void adoptJobName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownJobName();
+
+  inline  ::uint32_t getAttempt();
+  inline void setAttempt( ::uint32_t value);
+
+  inline bool hasNeeds();
+  inline  ::jayrill::wire::ResourceAmount::Builder getNeeds();
+  inline void setNeeds( ::jayrill::wire::ResourceAmount::Reader value);
+  inline  ::jayrill::wire::ResourceAmount::Builder initNeeds();
+  inline void adoptNeeds(::capnp::Orphan< ::jayrill::wire::ResourceAmount>&& value);
+  inline ::capnp::Orphan< ::jayrill::wire::ResourceAmount> disownNeeds();
+
+  inline  ::uint32_t getExpectedRunMs();
+  inline void setExpectedRunMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2625,6 +2759,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::jayrill::wire::ResourceAmount::Pipeline getNeeds();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2789,6 +2924,14 @@
 
   inline  ::uint64_t getExpectedFreeMicros() const;
 
+  inline bool hasRoom() const;
+  inline  ::jayrill::wire::ResourceAmount::Reader getRoom() const;
+
+  inline bool hasUsed() const;
+  inline  ::jayrill::wire::ResourceAmount::Reader getUsed() const;
+
+  inline  ::uint32_t getWarmingUpMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2854,6 +2997,23 @@
   inline  ::uint64_t getExpectedFreeMicros();
   inline void setExpectedFreeMicros( ::uint64_t value);
 
+  inline bool hasRoom();
+  inline  ::jayrill::wire::ResourceAmount::Builder getRoom();
+  inline void setRoom( ::jayrill::wire::ResourceAmount::Reader value);
+  inline  ::jayrill::wire::ResourceAmount::Builder initRoom();
+  inline void adoptRoom(::capnp::Orphan< ::jayrill::wire::ResourceAmount>&& value);
+  inline ::capnp::Orphan< ::jayrill::wire::ResourceAmount> disownRoom();
+
+  inline bool hasUsed();
+  inline  ::jayrill::wire::ResourceAmount::Builder getUsed();
+  inline void setUsed( ::jayrill::wire::ResourceAmount::Reader value);
+  inline  ::jayrill::wire::ResourceAmount::Builder initUsed();
+  inline void adoptUsed(::capnp::Orphan< ::jayrill::wire::ResourceAmount>&& value);
+  inline ::capnp::Orphan< ::jayrill::wire::ResourceAmount> disownUsed();
+
+  inline  ::uint32_t getWarmingUpMs();
+  inline void setWarmingUpMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2872,6 +3032,8 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::jayrill::wire::ResourceAmount::Pipeline getRoom();
+  inline  ::jayrill::wire::ResourceAmount::Pipeline getUsed();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4020,6 +4182,48 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t ResourceAmount::Reader::getCpuMillis() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ResourceAmount::Builder::getCpuMillis() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ResourceAmount::Builder::setCpuMillis( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ResourceAmount::Reader::getMemoryMb() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ResourceAmount::Builder::getMemoryMb() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ResourceAmount::Builder::setMemoryMb( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ResourceAmount::Reader::getAccelerators() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ResourceAmount::Builder::getAccelerators() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ResourceAmount::Builder::setAccelerators( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Start::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4206,6 +4410,107 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Start::Reader::hasJobName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Start::Builder::hasJobName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Start::Reader::getJobName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Start::Builder::getJobName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Start::Builder::setJobName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Start::Builder::initJobName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Start::Builder::adoptJobName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Start::Builder::disownJobName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t Start::Reader::getAttempt() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Start::Builder::getAttempt() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void Start::Builder::setAttempt( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Start::Reader::hasNeeds() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Start::Builder::hasNeeds() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::jayrill::wire::ResourceAmount::Reader Start::Reader::getNeeds() const {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::ResourceAmount>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::jayrill::wire::ResourceAmount::Builder Start::Builder::getNeeds() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::ResourceAmount>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::jayrill::wire::ResourceAmount::Pipeline Start::Pipeline::getNeeds() {
+  return  ::jayrill::wire::ResourceAmount::Pipeline(_typeless.getPointerField(4));
+}
+#endif  // !CAPNP_LITE
+inline void Start::Builder::setNeeds( ::jayrill::wire::ResourceAmount::Reader value) {
+  ::capnp::_::PointerHelpers< ::jayrill::wire::ResourceAmount>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::jayrill::wire::ResourceAmount::Builder Start::Builder::initNeeds() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::ResourceAmount>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Start::Builder::adoptNeeds(
+    ::capnp::Orphan< ::jayrill::wire::ResourceAmount>&& value) {
+  ::capnp::_::PointerHelpers< ::jayrill::wire::ResourceAmount>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::jayrill::wire::ResourceAmount> Start::Builder::disownNeeds() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::ResourceAmount>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t Start::Reader::getExpectedRunMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Start::Builder::getExpectedRunMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+}
+inline void Start::Builder::setExpectedRunMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t TaskResult::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4518,6 +4823,98 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool MinionStatus::Reader::hasRoom() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool MinionStatus::Builder::hasRoom() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::jayrill::wire::ResourceAmount::Reader MinionStatus::Reader::getRoom() const {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::ResourceAmount>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::jayrill::wire::ResourceAmount::Builder MinionStatus::Builder::getRoom() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::ResourceAmount>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::jayrill::wire::ResourceAmount::Pipeline MinionStatus::Pipeline::getRoom() {
+  return  ::jayrill::wire::ResourceAmount::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void MinionStatus::Builder::setRoom( ::jayrill::wire::ResourceAmount::Reader value) {
+  ::capnp::_::PointerHelpers< ::jayrill::wire::ResourceAmount>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::jayrill::wire::ResourceAmount::Builder MinionStatus::Builder::initRoom() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::ResourceAmount>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void MinionStatus::Builder::adoptRoom(
+    ::capnp::Orphan< ::jayrill::wire::ResourceAmount>&& value) {
+  ::capnp::_::PointerHelpers< ::jayrill::wire::ResourceAmount>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::jayrill::wire::ResourceAmount> MinionStatus::Builder::disownRoom() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::ResourceAmount>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool MinionStatus::Reader::hasUsed() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool MinionStatus::Builder::hasUsed() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::jayrill::wire::ResourceAmount::Reader MinionStatus::Reader::getUsed() const {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::ResourceAmount>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::jayrill::wire::ResourceAmount::Builder MinionStatus::Builder::getUsed() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::ResourceAmount>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::jayrill::wire::ResourceAmount::Pipeline MinionStatus::Pipeline::getUsed() {
+  return  ::jayrill::wire::ResourceAmount::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void MinionStatus::Builder::setUsed( ::jayrill::wire::ResourceAmount::Reader value) {
+  ::capnp::_::PointerHelpers< ::jayrill::wire::ResourceAmount>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::jayrill::wire::ResourceAmount::Builder MinionStatus::Builder::initUsed() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::ResourceAmount>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void MinionStatus::Builder::adoptUsed(
+    ::capnp::Orphan< ::jayrill::wire::ResourceAmount>&& value) {
+  ::capnp::_::PointerHelpers< ::jayrill::wire::ResourceAmount>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::jayrill::wire::ResourceAmount> MinionStatus::Builder::disownUsed() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::ResourceAmount>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t MinionStatus::Reader::getWarmingUpMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t MinionStatus::Builder::getWarmingUpMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+inline void MinionStatus::Builder::setWarmingUpMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool AgentReport::Reader::hasResults() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/jayrill/session/pause_detector.h
+++ b/src/jayrill/session/pause_detector.h
@@ -11,7 +11,7 @@
 inline constexpr std::chrono::milliseconds kPauseLimit{1000};
 
 /// Interval at which an event loop calls pause_detector::Tick.
-inline constexpr std::chrono::milliseconds kPauseTick{250};
+inline constexpr std::chrono::milliseconds kPauseTick{100};
 
 /// Detects that the process was stopped, for example by SIGSTOP or by the
 /// freeze of its virtual machine.
--- a/src/jayrill/store/store.h
+++ b/src/jayrill/store/store.h
@@ -76,6 +76,9 @@
     /// Called when the watch was interrupted. It is re-established by itself;
     /// changes that were missed are reported as events.
     std::function<void(const error&)> on_interrupted;
+    /// Called when every change up to a revision of the store was reported.
+    /// May be empty; not every store tells.
+    std::function<void(store_revision)> on_progress = {};
   };
 
   virtual ~store() = default;
--- a/tests/unit/http/job_api_test.cc
+++ b/tests/unit/http/job_api_test.cc
@@ -80,8 +80,9 @@
   fake_dispatch dispatch_;
   fake_claims claims_;
   shared_config config_;
+  json_job_format format_;
   job_api api_{{dispatch_, claims_, time_, metrics_, [this] { return config_; },
-                incarnation{7}}};
+                incarnation{7}, format_}};
   http_server server_{{}, metrics_};
   std::uint16_t port_ = 0;
 };
