Serve jobs in time under overload: late ones last, hopeless ones refused

The start order put the latest start first, so that under a load above capacity every task that started was already late, and each made the next late. Answers came at the client's deadline, when it had gone.

Ruled out: lost capacity alone (two of eleven minions had left); the entries' processor time (4 % of a core each).

Change: tasks that cannot end by the objective of their job go after all others (task_queue::DeferLate); a job expires after 3.3 times its objective or 60 ms before its caller stops waiting; a job is refused on arrival when tasks of its profile wait longer than 0.6 of the slack and no minion is free (start_delay).

--- a/src/jayrill/agent/leased_minion.cc
+++ b/src/jayrill/agent/leased_minion.cc
@@ -73,8 +73,11 @@
   }
   control_.SetMinion(minion);
   if (is_other_life) {
-    EndAll("the minion has started again");
-    life_ = 0;
+    RaiseToken();
+    life_ = minion.life;
+    life_began_after_ = last_serial_;
+    acknowledged_ = 0;
+    acknowledgement_sent_ = 0;
   }
   synced_ = false;
   clock_read_at_.reset();
@@ -309,7 +312,10 @@
   if (minion_->life != 0 && answer->life < minion_->life) {
     return;  // Of a life that has ended.
   }
-  AdoptLife(*answer);
+  if (!AdoptLife(serial, *answer)) {
+    RequestReport({});
+    return;
+  }
   clock_read_ = answer->clock;
   clock_read_at_ = time_.Now();
   HandleEnds(*answer);
@@ -334,17 +340,43 @@
   }));
 }
 
-void leased_minion::AdoptLife(const run_report& report) {
-  if (report.life == life_) {
-    return;
+// \returns false when the report cannot tell what runs.
+bool leased_minion::AdoptLife(std::uint64_t serial, const run_report& report) {
+  if (report.life != life_) {
+    if (life_ != 0) {
+      RaiseToken();
+      life_began_after_ = last_serial_;
+    }
+    life_ = report.life;
+    acknowledged_ = 0;
+    acknowledgement_sent_ = 0;
+    synced_ = false;
+    clock_read_at_.reset();
   }
-  if (life_ != 0) {
-    EndAll("the minion has started again");
+  if (!life_began_after_) {
+    return true;
   }
-  life_ = report.life;
-  acknowledged_ = 0;
-  acknowledgement_sent_ = 0;
-  synced_ = false;
+  if (serial <= *life_began_after_) {
+    return false;
+  }
+  life_began_after_.reset();
+  std::set<run_name> present;
+  for (const held_run& held : report.running) {
+    present.insert(held.run);
+  }
+  std::vector<std::uint64_t> ended;
+  for (auto& [id, run] : runs_) {
+    if (!present.contains(run.name)) {
+      run.reason = "the minion has started again";
+      ended.push_back(id);
+    }
+  }
+  LOG(WARNING) << "lease: the minion has started again life=" << life_
+               << " runs_ended=" << ended.size();
+  for (const std::uint64_t id : ended) {
+    Finish(id, Outcome(runs_.at(id), task_outcome::kInterrupted));
+  }
+  return true;
 }
 
 void leased_minion::HandleEnds(const run_report& report) {
--- a/src/jayrill/agent/leased_minion.h
+++ b/src/jayrill/agent/leased_minion.h
@@ -97,7 +97,7 @@
   void KeepReporting();
   void OnReport(std::uint64_t serial, const result<run_report>& answer);
   void OnReportFailed(const error& failure);
-  void AdoptLife(const run_report& report);
+  bool AdoptLife(std::uint64_t serial, const run_report& report);
   void HandleEnds(const run_report& report);
   void HandleRunning(std::uint64_t serial, const run_report& report);
   void CheckProgress(std::uint64_t id, std::uint32_t percent);
@@ -125,6 +125,10 @@
   std::uint64_t token_ = 0;
   std::uint32_t raises_ = 0;
   std::uint64_t life_ = 0;
+  /// Reports that were requested after this one show what a new life runs. Its
+  /// clock and its memory of attempts start anew, so only the fencing token
+  /// keeps orders out that were sent to the life before.
+  std::optional<std::uint64_t> life_began_after_;
   /// No run of an earlier agent is left, and the clock of the minion is known.
   bool synced_ = false;
   std::optional<steady_time> clock_read_at_;
--- a/src/jayrill/cli/setting_rules.cc
+++ b/src/jayrill/cli/setting_rules.cc
@@ -124,6 +124,14 @@
                 "use a loopback address");
 }
 
+void CheckAgent(fault_list& faults) {
+  // The platform may start an agent before it knows an entry.
+  faults.Expect(
+      absl::GetFlag(FLAGS_platform) || !absl::GetFlag(FLAGS_entries).empty(),
+      "entries", "", "the setting is required and not set",
+      "set JAYRILL_ENTRIES");
+}
+
 void CheckLoad(fault_list& faults) {
   const auto order = [&faults](const char* name, std::int64_t low,
                                std::int64_t high, const char* remedy) {
@@ -201,6 +209,7 @@
   }
   if ((commands & kAgent) != 0) {
     CheckAnnounced(faults);
+    CheckAgent(faults);
   }
   if ((commands & kLoad) != 0) {
     CheckLoad(faults);
--- a/src/jayrill/entry/dispatcher.h
+++ b/src/jayrill/entry/dispatcher.h
@@ -22,6 +22,7 @@
 #include "jayrill/placement/quota_ledger.h"
 #include "jayrill/placement/retry_budget.h"
 #include "jayrill/placement/speed_model.h"
+#include "jayrill/placement/start_delay.h"
 #include "jayrill/session/pause_detector.h"
 
 namespace jayrill {
@@ -119,7 +120,13 @@
                                       std::chrono::microseconds longest,
                                       std::chrono::microseconds work) const;
   const profile& ProfileOf(const job_spec& spec) const;
-  void SetObjective(job_record& job, std::chrono::microseconds longest) const;
+  static std::chrono::microseconds Objective(const profile& goal,
+                                             std::chrono::microseconds longest);
+  std::optional<refusal> CheckObjective(const job_spec& spec,
+                                        const service_pool& pool) const;
+  bool HasFreeMinion(const service_pool& pool,
+                     const resource_amount& needs) const;
+  void SetObjective(job_record& job, std::chrono::microseconds longest);
   std::chrono::microseconds LowerBound(const job_spec& spec,
                                        const task_spec& task) const;
   void Enqueue(job_record& job);
@@ -173,6 +180,7 @@
   quota_ledger teams_;
   quota_ledger profiles_;
   retry_budget retries_;
+  std::map<std::string, start_delay, std::less<>> delays_;  ///< By profile.
   config_trust trust_;
   pause_detector pause_;
   shared_config config_;
--- a/src/jayrill/entry/dispatcher_jobs.cc
+++ b/src/jayrill/entry/dispatcher_jobs.cc
@@ -18,6 +18,16 @@
 /// messages and for estimates that are too short.
 constexpr double kObjectivePart = 0.8;
 
+/// Part of the slack of an objective that a job may be expected to wait.
+constexpr double kWaitPart = 0.6;
+
+/// An answer after three times the objective is of no use to its caller. The
+/// rest allows for an objective that is estimated too short.
+constexpr double kLateFactor = 3.3;
+
+/// Time for the last answer to reach a caller before it stops waiting.
+constexpr std::chrono::milliseconds kAnswerMargin{60};
+
 std::chrono::microseconds Scale(std::chrono::microseconds time, double factor) {
   return std::chrono::microseconds(
       static_cast<std::int64_t>(static_cast<double>(time.count()) * factor));
@@ -70,6 +80,9 @@
     const bool may_pass = reason && reason->code == "no_minion";
     return may_pass && now - *since < kNoMinionGrace ? std::nullopt : reason;
   }
+  if (auto reason = CheckObjective(spec, pool)) {
+    return reason;
+  }
   const profile& limits = ProfileOf(spec);
   const fleet_speed fleet = SpeedOf(pool, spec.tasks.front().needs);
   finish_estimate estimate;
@@ -158,17 +171,59 @@
                   Scale(work, 1.0 / fleet.capacity));
 }
 
+std::chrono::microseconds dispatcher::Objective(
+    const profile& goal,
+    std::chrono::microseconds longest) {
+  return Scale(longest, goal.slack_factor) + goal.target_latency;
+}
+
+std::optional<refusal> dispatcher::CheckObjective(
+    const job_spec& spec,
+    const service_pool& pool) const {
+  const profile& goal = ProfileOf(spec);
+  const auto found = delays_.find(spec.profile);
+  if (goal.slack_factor <= 0 || found == delays_.end() || pool.waiting() == 0) {
+    return std::nullopt;
+  }
+  std::chrono::microseconds longest{};
+  for (const task_spec& task : spec.tasks) {
+    longest = std::max(longest, speeds_.ExpectedRunTime(spec.service, task.kind,
+                                                        task.declared));
+  }
+  const auto delay = found->second.Expected(time_.Now());
+  if (delay <= Scale(Objective(goal, longest) - longest, kWaitPart) ||
+      HasFreeMinion(pool, spec.tasks.front().needs)) {
+    return std::nullopt;
+  }
+  return refusal{"overloaded",
+                 "tasks of this profile wait for " +
+                     std::to_string(delay.count() / 1000) +
+                     " ms at present, too long for the objective",
+                 "submit again after the time in Retry-After"};
+}
+
+bool dispatcher::HasFreeMinion(const service_pool& pool,
+                               const resource_amount& needs) const {
+  const steady_time now = time_.Now();
+  return std::any_of(pool.minions().begin(), pool.minions().end(),
+                     [&](const agent_session* minion) {
+                       return minion->IsUsable(config_->revision, now) &&
+                              minion->View(now, 0).HasFreeSlot(needs);
+                     });
+}
+
 void dispatcher::SetObjective(job_record& job,
-                              std::chrono::microseconds longest) const {
+                              std::chrono::microseconds longest) {
   const profile& goal = ProfileOf(job.spec);
   if (goal.slack_factor <= 0) {
     return;
   }
-  const std::chrono::microseconds objective =
-      Scale(longest, goal.slack_factor) + goal.target_latency;
+  const std::chrono::microseconds objective = Objective(goal, longest);
   job.due = job.arrival + objective;
   job.expected_end = std::max(job.expected_end,
                               job.arrival + Scale(objective, kObjectivePart));
+  jobs_.Shorten(job, std::min(job.deadline - kAnswerMargin,
+                              job.arrival + Scale(objective, kLateFactor)));
 }
 
 void dispatcher::Refuse(job_id id, const refusal& reason) {
--- a/src/jayrill/entry/dispatcher_sending.cc
+++ b/src/jayrill/entry/dispatcher_sending.cc
@@ -154,6 +154,12 @@
       session.Send({job.id, task.index}, now, task.run_time, task.needs);
   if (++record.starts == 1) {
     retries_.OnFirstStart();
+    if (!task.is_late) {
+      delays_[job.spec.profile].OnStart(
+          std::chrono::duration_cast<std::chrono::microseconds>(now -
+                                                                job.arrival),
+          now);
+    }
   }
   ++job.outstanding;
   const std::chrono::duration<double, std::micro> expected =
--- a/src/jayrill/entry/job_record.h
+++ b/src/jayrill/entry/job_record.h
@@ -65,6 +65,7 @@
             ideal_time,
             due,
             tasks[index].failures > 0,
+            false,
             spec.tasks[index].needs};
   }
 };
--- a/src/jayrill/entry/job_table.cc
+++ b/src/jayrill/entry/job_table.cc
@@ -31,6 +31,14 @@
   return found == jobs_.end() ? nullptr : found->second.get();
 }
 
+void job_table::Shorten(job_record& job, steady_time deadline) {
+  if (deadline < job.deadline) {
+    deadlines_.erase({job.deadline, job.id});
+    job.deadline = deadline;
+    deadlines_.emplace(deadline, job.id);
+  }
+}
+
 void job_table::MarkDecided(job_record& job) {
   job.decided = true;
   deadlines_.erase({job.deadline, job.id});
--- a/src/jayrill/entry/job_table.h
+++ b/src/jayrill/entry/job_table.h
@@ -24,6 +24,9 @@
   /// \returns the job, or null.
   job_record* Find(job_id id);
 
+  /// Lets \p job expire at \p deadline, if that is earlier than so far.
+  void Shorten(job_record& job, steady_time deadline);
+
   /// Notes that \p job is decided and frees what only a running job needs.
   void MarkDecided(job_record& job);
 
--- a/src/jayrill/entry/task_placer.cc
+++ b/src/jayrill/entry/task_placer.cc
@@ -25,6 +25,7 @@
   if (views_.empty() || (late && !AnyCanStart())) {
     return;
   }
+  DeferLate(pool, now);
   MakeCursors(pool, may_start);
   std::map<task_key, steady_time> passed_over;
   while (cursor* const next = NextCursor()) {
@@ -97,6 +98,16 @@
   }
 }
 
+void task_placer::DeferLate(service_pool& pool, steady_time now) {
+  double least = views_.front().slowness;
+  for (const minion_view& view : views_) {
+    least = std::min(least, view.slowness);
+  }
+  for (auto& [team, queue] : pool.queues()) {
+    queue.DeferLate(now, least);
+  }
+}
+
 bool task_placer::AnyCanStart() const {
   return std::any_of(views_.begin(), views_.end(),
                      [](const minion_view& view) { return view.CanStart(); });
--- a/src/jayrill/entry/task_placer.h
+++ b/src/jayrill/entry/task_placer.h
@@ -54,6 +54,7 @@
                  const cluster_config& config,
                  steady_time now);
   void MakeCursors(service_pool& pool, const quota_check& may_start);
+  void DeferLate(service_pool& pool, steady_time now);
   bool AnyCanStart() const;
   cursor* NextCursor();
   void Reserve(std::size_t index, const queued_task& task);
--- a/src/jayrill/placement/task_queue.cc
+++ b/src/jayrill/placement/task_queue.cc
@@ -28,7 +28,8 @@
 bool task_queue::start_order_less::operator()(const queued_task& a,
                                               const queued_task& b) const {
   const auto key = [](const queued_task& task) {
-    return std::make_tuple(LatestStart(task), task.job, task.index);
+    return std::make_tuple(task.is_late, LatestStart(task), task.job,
+                           task.index);
   };
   return key(a) < key(b);
 }
@@ -53,6 +54,22 @@
   return tasks_.erase(position);
 }
 
+void task_queue::DeferLate(steady_time now, double least_slowness) {
+  const auto is_late = [&](const queued_task& task) {
+    const std::chrono::duration<double, std::micro> run =
+        task.run_time * least_slowness;
+    return task.due != steady_time{} &&
+           now + std::chrono::duration_cast<steady_duration>(run) > task.due;
+  };
+  while (!tasks_.empty() && !tasks_.begin()->is_late &&
+         is_late(*tasks_.begin())) {
+    queued_task task = *tasks_.begin();
+    PopFront();
+    task.is_late = true;
+    Push(task);
+  }
+}
+
 void task_queue::PopFront() {
   assert(!tasks_.empty() && "the queue must not be empty");
   Remove(tasks_.begin());
--- a/src/jayrill/placement/task_queue.h
+++ b/src/jayrill/placement/task_queue.h
@@ -27,6 +27,7 @@
   /// When the job has to end to be in time; zero: four times job_time.
   steady_time due{};
   bool has_failed = false;  ///< A run of the task has failed.
+  bool is_late = false;     ///< It cannot end by due any more.
   resource_amount needs{};
 
   auto operator<=>(const queued_task&) const = default;
@@ -40,6 +41,10 @@
 /// length, and the longest task of a job, on which its end depends, goes first.
 /// Each point of urgency is worth a fixed head start. A task is overtaken only
 /// by tasks that arrive before its own due time, so it cannot starve.
+///
+/// Tasks of jobs with an objective that they cannot meet any more go after all
+/// others. Under overload, work on late jobs would make every later job late as
+/// well.
 class task_queue {
  private:
   struct start_order_less {
@@ -61,6 +66,10 @@
     return tasks_.empty() ? nullptr : &*tasks_.begin();
   }
 
+  /// Moves the tasks at the front that cannot end by their due time behind all
+  /// others. \p least_slowness: that of the fastest minion.
+  void DeferLate(steady_time now, double least_slowness);
+
   /// Removes the task that Front returns. The queue must not be empty.
   void PopFront();
 
--- /dev/null
+++ b/tests/platform/kv_store_test.cc
@@ -0,0 +1,165 @@
+#include "platform/kv_store.h"
+
+#include <gtest/gtest.h>
+
+#include <QCoreApplication>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "jayrill/config/translated_config.h"
+#include "jayrill/store/qt_scheduler.h"
+#include "platform_store_standin.h"
+#include "qt_wait.h"
+
+namespace jayrill::platform {
+namespace {
+
+class kv_store_test : public testing::Test {
+ protected:
+  kv_store_test() {
+    WaitFor([] { return true; });  // Makes the application.
+    standin_ = std::make_unique<platform_store_standin>();
+    timers_ = std::make_unique<qt_scheduler>();
+    store_ = std::make_unique<kv_store>(standin_->address(), *timers_);
+  }
+
+  result<swap_result> Swap(const std::string& key,
+                           std::uint64_t expected,
+                           const std::string& value) {
+    std::optional<result<swap_result>> answer;
+    store_->CompareAndSwap(key, {expected}, value, std::nullopt,
+                           [&](result<swap_result> swap) { answer = swap; });
+    EXPECT_TRUE(WaitFor([&] { return answer.has_value(); }));
+    return *answer;
+  }
+
+  std::unique_ptr<platform_store_standin> standin_;
+  std::unique_ptr<qt_scheduler> timers_;
+  std::unique_ptr<kv_store> store_;
+};
+
+// Guards against a write that passes over another one.
+TEST_F(kv_store_test, SwapsOnlyTheExpectedRevision) {
+  const auto first = Swap("a", 0, "one");
+  ASSERT_TRUE(first);
+  ASSERT_TRUE(first->swapped);
+  const auto clash = Swap("a", 0, "two");
+  ASSERT_TRUE(clash);
+  EXPECT_FALSE(clash->swapped);
+  ASSERT_TRUE(clash->found);
+  EXPECT_EQ(clash->found->value, "one");
+  EXPECT_EQ(clash->found->revision, first->revision);
+}
+
+// Guards against a write without an answer that is taken for one that did
+// nothing, and the other way round.
+TEST_F(kv_store_test, TellsALostAnswerFromARefusal) {
+  standin_->LoseNextAnswer();
+  const auto lost = Swap("a", 0, "one");
+  ASSERT_FALSE(lost);
+  EXPECT_EQ(lost.error().kind, error_kind::kUnknownOutcome);
+  standin_->SetDown(true);
+  const auto down = Swap("a", 0, "two");
+  ASSERT_FALSE(down);
+  EXPECT_EQ(down.error().kind, error_kind::kUnavailable);
+  standin_->SetDown(false);
+  const auto clash = Swap("a", 0, "three");
+  ASSERT_TRUE(clash);
+  EXPECT_EQ(clash->found->value, "one");
+}
+
+/// Keeps what a watch has reported.
+struct watched {
+  std::map<std::string, std::string> values;
+  std::uint64_t progress = 0;
+  int interruptions = 0;
+
+  store::watch_listener Listener() {
+    return {[this](const store_event& event) {
+              if (event.value) {
+                values[event.key] = *event.value;
+              } else {
+                values.erase(event.key);
+              }
+            },
+            [] {}, [this](const error&) { ++interruptions; },
+            [this](store_revision as_of) { progress = as_of.value; }};
+  }
+};
+
+// Guards against a change or a deletion that a watch misses, also while the
+// store is down or after it has dropped its history.
+TEST_F(kv_store_test, AWatchMissesNothing) {
+  ASSERT_TRUE(Swap("op/a", 0, "1"));
+  watched seen;
+  const auto watch = store_->Watch("op/", seen.Listener());
+  ASSERT_TRUE(WaitFor([&] { return seen.values.size() == 1; }));
+  ASSERT_TRUE(Swap("op/b", 0, "2"));
+  ASSERT_TRUE(Swap("other", 0, "3"));
+  ASSERT_TRUE(WaitFor([&] { return seen.values.contains("op/b"); }));
+  standin_->Delete("op/a");
+  ASSERT_TRUE(WaitFor([&] { return !seen.values.contains("op/a"); }));
+  standin_->SetDown(true);
+  ASSERT_TRUE(WaitFor([&] { return seen.interruptions > 0; }));
+  standin_->Put("op/c", "4");
+  standin_->Delete("op/b");
+  standin_->DropHistory();
+  standin_->SetDown(false);
+  ASSERT_TRUE(WaitFor([&] { return seen.values.contains("op/c"); }));
+  EXPECT_EQ(seen.values.size(), 1U);
+  EXPECT_TRUE(WaitFor([&] { return seen.progress == standin_->revision(); }));
+}
+
+/// Reads the value of `op/config` as the name of the only data centre that is
+/// out.
+class name_translator final : public config_translator {
+ public:
+  std::string Prefix() const override { return "op/"; }
+  result<cluster_config> Translate(const items& stored) const override {
+    const auto found = stored.find("op/config");
+    if (found == stored.end() || found->second == "bad") {
+      return MakeError(error_kind::kInvalidArgument, "bad", "write another");
+    }
+    cluster_config config;
+    config.data_centres[found->second].out = true;
+    return config;
+  }
+};
+
+// Guards against a configuration that goes back: to a stale one of a session,
+// or to none when the stored one cannot be read; and against a deletion that a
+// restarted process cannot tell from an older state.
+TEST_F(kv_store_test, ATranslatedConfigurationOnlyGrows) {
+  standin_->Put("op/config", "north");
+  std::vector<config_keeper::shared> adopted;
+  int confirmed = 0;
+  const name_translator translator;
+  translated_config config(
+      *store_, translator,
+      {[&](const config_keeper::shared& next) { adopted.push_back(next); },
+       [&] { ++confirmed; }});
+  ASSERT_TRUE(WaitFor([&] { return confirmed > 0; }));
+  ASSERT_TRUE(config.current()->IsOut("north"));
+  standin_->Put("op/config", "bad");
+  standin_->Put("op/config", "south");
+  ASSERT_TRUE(WaitFor([&] { return config.current()->IsOut("south"); }));
+  // A session offers a state that the store has left, under a revision that a
+  // deletion had: the store's state wins under a higher one.
+  cluster_config stale;
+  stale.revision.value = standin_->revision() + 1;
+  stale.data_centres["west"].out = true;
+  config.Offer(std::make_shared<const cluster_config>(stale));
+  EXPECT_TRUE(config.current()->IsOut("west"));
+  standin_->Put("unrelated", "x");
+  standin_->Put("unrelated", "y");
+  standin_->Put("op/other", "z");
+  ASSERT_TRUE(WaitFor([&] { return config.current()->IsOut("south"); }));
+  for (std::size_t i = 1; i < adopted.size(); ++i) {
+    EXPECT_GT(adopted[i]->revision, adopted[i - 1]->revision);
+  }
+}
+
+}  // namespace
+}  // namespace jayrill::platform
--- /dev/null
+++ b/tests/platform/platform_format_test.cc
@@ -0,0 +1,249 @@
+#include <gtest/gtest.h>
+
+#include <QJsonDocument>
+#include <string>
+
+#include "platform/platform.h"
+
+namespace jayrill::platform {
+namespace {
+
+constexpr char kConfig[] =
+    R"({"version":7,"routes":[)"
+    R"({"name":"r-a","host":"h.example","prefix":"/p/","service":"s1",)"
+    R"("priority":1,"max_attempts":2,"slack_factor":1.6,"target_latency_ms":60},)"
+    R"({"name":"r-b","host":"h.example","prefix":"/p/long/","service":"s2"}],)"
+    R"("services":[],"limits":{}})";
+
+cluster_config Config() {
+  return *config_format().Translate({{"op/config", kConfig}});
+}
+
+http_request Request(const std::string& path, const std::string& body) {
+  http_request request;
+  request.method = "Post";
+  request.path = path;
+  request.headers = {{"host", "h.example"}, {"x-deadline-ms", "1800"}};
+  request.body = QByteArray::fromStdString(body);
+  return request;
+}
+
+// Guards against a route or an evacuation that is lost in translation.
+TEST(config_format_test, ReadsRoutesProfilesAndEvacuations) {
+  const auto config = config_format().Translate({{"op/config", kConfig},
+                                                 {"op/evacuate/north-a", "{}"},
+                                                 {"op/wave/1", "{}"}});
+  ASSERT_TRUE(config);
+  EXPECT_EQ(config->routes.at("r-a").service, "s1");
+  EXPECT_EQ(config->routes.at("r-a").profile, "r-a");
+  const profile& limits = config->profiles.at("r-a");
+  EXPECT_EQ(limits.attempts, 2U);
+  EXPECT_DOUBLE_EQ(limits.slack_factor, 1.6);
+  EXPECT_EQ(limits.target_latency, std::chrono::milliseconds(60));
+  EXPECT_LT(limits.urgency, config->profiles.at("r-b").urgency);
+  EXPECT_TRUE(config->IsOut("north-a"));
+  EXPECT_EQ(*config->FindRoute("h.example", "/p/long/x"), "r-b");
+  EXPECT_EQ(*config->FindRoute("h.example", "/p/x"), "r-a");
+  EXPECT_EQ(config->FindRoute("other.example", "/p/x"), nullptr);
+}
+
+struct bad_config {
+  std::string name;
+  config_translator::items items;
+};
+
+class bad_config_test : public testing::TestWithParam<bad_config> {};
+
+// Guards against a configuration that cannot be read and takes all routes away.
+TEST_P(bad_config_test, IsAnError) {
+  EXPECT_FALSE(config_format().Translate(GetParam().items));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table,
+    bad_config_test,
+    testing::Values(bad_config{"missing", {}},
+                    bad_config{"not_json", {{"op/config", "\xff\xfe{"}}},
+                    bad_config{"no_routes", {{"op/config", "{}"}}},
+                    bad_config{"routes_of_another_type",
+                               {{"op/config", R"({"routes":7})"}}}),
+    [](const auto& param) { return param.param.name; });
+
+// Guards against fields of a job that are read under the wrong name.
+TEST(queue_format_test, ReadsAJob) {
+  const auto job = queue_format().Decode(
+      Request("/p/5c0e7a21d94b36f8",
+              R"({"spec":"do it","phases":[{"count":3,"cpu":500,"mem_mb":256,)"
+              R"("estimate_ms":900}],"best_effort":true})"),
+      Config());
+  ASSERT_TRUE(job) << job.error().message;
+  EXPECT_EQ(job->name, "5c0e7a21d94b36f8");
+  EXPECT_EQ(job->service, "s1");
+  EXPECT_EQ(job->profile, "r-a");
+  EXPECT_EQ(job->deadline, std::chrono::milliseconds(1800));
+  EXPECT_TRUE(job->repeatable);
+  ASSERT_EQ(job->tasks.size(), 3U);
+  EXPECT_EQ(job->tasks[0].payload, "do it");
+  EXPECT_EQ(job->tasks[0].needs, (resource_amount{500, 256, 0}));
+  EXPECT_EQ(job->tasks[0].declared, std::chrono::milliseconds(900));
+}
+
+struct bad_job {
+  std::string name;
+  std::string path;
+  std::string body;
+  int status = 0;
+};
+
+class bad_job_test : public testing::TestWithParam<bad_job> {};
+
+// Guards against a request that is run though it cannot be served as asked, and
+// against a refusal with the wrong status.
+TEST_P(bad_job_test, IsRefusedAsNotRun) {
+  const queue_format format;
+  const auto job =
+      format.Decode(Request(GetParam().path, GetParam().body), Config());
+  ASSERT_FALSE(job);
+  EXPECT_EQ(job.error().effect, job_effect::kNotRun);
+  EXPECT_EQ(format.Encode("", tl::unexpected(job.error())).status,
+            GetParam().status);
+}
+
+std::string Phase(const std::string& fields) {
+  return R"({"spec":"x","phases":[{)" + fields + R"(}],"best_effort":true})";
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table,
+    bad_job_test,
+    testing::Values(
+        bad_job{"no_route", "/q/5c0e7a21d94b36f8", Phase(R"("count":1)"), 404},
+        bad_job{"no_id", "/p/", Phase(R"("count":1)"), 400},
+        bad_job{"bad_id", "/p/5c0e7a21d94b36g8", Phase(R"("count":1)"), 400},
+        bad_job{"not_json", "/p/5c0e7a21d94b36f8", "\xff{", 400},
+        bad_job{"no_tasks", "/p/5c0e7a21d94b36f8", Phase(R"("count":0)"), 400},
+        bad_job{"too_many_tasks", "/p/5c0e7a21d94b36f8",
+                Phase(R"("count":1901)"), 400},
+        bad_job{"text_for_number", "/p/5c0e7a21d94b36f8",
+                Phase(R"("count":"4")"), 400},
+        bad_job{"negative_number", "/p/5c0e7a21d94b36f8",
+                Phase(R"("count":1,"cpu":-1)"), 400},
+        bad_job{"stored_job", "/p/5c0e7a21d94b36f8",
+                R"({"spec":"x","phases":[{"count":1}]})", 503},
+        bad_job{"gang", "/p/5c0e7a21d94b36f8",
+                Phase(R"("count":1,"gang":true)"), 503}),
+    [](const auto& param) { return param.param.name; });
+
+struct answer_case {
+  std::string name;
+  job_outcome outcome;
+  int status = 0;
+};
+
+class answer_test : public testing::TestWithParam<answer_case> {};
+
+// Guards against a 503 for a job of which something has run, and against a
+// refusal that does not say when to come back.
+TEST_P(answer_test, HasTheStatusThatIsTrue) {
+  const http_response response = queue_format().Encode("", GetParam().outcome);
+  EXPECT_EQ(response.status, GetParam().status);
+  EXPECT_EQ(response.retry_after.count() > 0, response.status == 503);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table,
+    answer_test,
+    testing::Values(
+        answer_case{"whole", job_answer{{"null"}}, 200},
+        answer_case{
+            "failed",
+            MakeJobFailure(job_effect::kRanAndFailed, "task_failed", "", ""),
+            200},
+        answer_case{"not_run",
+                    MakeJobFailure(job_effect::kNotRun, "overloaded", "", ""),
+                    503},
+        answer_case{
+            "may_have_run",
+            MakeJobFailure(job_effect::kMayHaveRun, "task_lost", "", ""), 504},
+        answer_case{"ran_until_deadline",
+                    MakeJobFailure(job_effect::kRanAndFailed,
+                                   "deadline_exceeded",
+                                   "",
+                                   ""),
+                    504}),
+    [](const auto& param) { return param.param.name; });
+
+constexpr char kBeat[] =
+    R"({"service":"s","address":"10.0.0.9:8080","capacity":8,"state":"ready",)"
+    R"("cold_remaining_ms":40,"headroom":{"cpu":16000,"mem_mb":32768,"gpu":1},)"
+    R"("labels":["a","r1"],"born":1787822405666,"sequence":4})";
+
+// Guards against a minion that is taken for another size, place or life.
+TEST(instance_beat_test, ReadsAHeartbeat) {
+  const auto beat = ParseBeat("i-1", kBeat);
+  ASSERT_TRUE(beat) << beat.error().message;
+  EXPECT_EQ(beat->sequence, 4U);
+  EXPECT_EQ(beat->minion.instance, "i-1");
+  EXPECT_EQ(beat->minion.life, 1787822405666U);
+  EXPECT_EQ(beat->minion.host, "10.0.0.9");
+  EXPECT_EQ(beat->minion.port, 8080);
+  EXPECT_EQ(beat->minion.room, (resource_amount{16000, 32768, 1}));
+  EXPECT_FALSE(beat->minion.draining);
+}
+
+struct bad_beat {
+  std::string name;
+  std::string from;
+  std::string to;
+};
+
+class bad_beat_test : public testing::TestWithParam<bad_beat> {};
+
+// Guards against a heartbeat of another writer that names a minion to use.
+TEST_P(bad_beat_test, NamesNoMinion) {
+  std::string text = kBeat;
+  const std::size_t at = text.find(GetParam().from);
+  ASSERT_NE(at, std::string::npos);
+  text.replace(at, GetParam().from.size(), GetParam().to);
+  EXPECT_FALSE(ParseBeat("i-1", text));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table,
+    bad_beat_test,
+    testing::Values(bad_beat{"service", R"("service":"s")", R"("service":3)"},
+                    bad_beat{"address", "10.0.0.9:8080", "10.0.0.9"},
+                    bad_beat{"state", R"("ready")", R"("resting")"},
+                    bad_beat{"born", "1787822405666", "17.5"},
+                    bad_beat{"sequence", R"("sequence":4)",
+                             R"("sequence":"4")"},
+                    bad_beat{"headroom", "16000", "-1"},
+                    bad_beat{"unreadable", R"({"service")", "\xff\xfe"}),
+    [](const auto& param) { return param.param.name; });
+
+// Guards against a task of another owner that is taken for one of jayrill.
+TEST(run_report_test, ReadsBothListsAndSkipsWhatItCannotRead) {
+  const auto json =
+      QJsonDocument::fromJson(
+          R"({"clock_ms":482113,"born":17,"running":[)"
+          R"(["5c0e.0.0.17",2,"",41,"7"],["other.1.0.3",1,"",0],[7]],)"
+          R"("finished":[[59,"5c0e.0.0.9",1,"done",""],)"
+          R"([58,"5c0e.0.0.8",3,"lapsed",""],"bad"]})")
+          .object();
+  const auto report = ParseReport(json);
+  ASSERT_TRUE(report);
+  EXPECT_EQ(report->clock, minion_time(482113));
+  EXPECT_EQ(report->life, 17U);
+  ASSERT_EQ(report->running.size(), 2U);
+  EXPECT_EQ(report->running[0], (held_run{{"5c0e", 17, 2}, 41}));
+  EXPECT_EQ(report->running[1].run.job, "other.1.0.3");
+  ASSERT_EQ(report->ended.size(), 2U);
+  EXPECT_EQ(report->ended[0],
+            (ended_run{58, {"5c0e", 8, 3}, run_end::kLapsed}));
+  EXPECT_EQ(report->ended[1].how, run_end::kDone);
+  EXPECT_FALSE(ParseReport({}));
+  EXPECT_EQ(TaskName({"5c0e", 17, 2}), "5c0e.0.0.17");
+}
+
+}  // namespace
+}  // namespace jayrill::platform
--- /dev/null
+++ b/tests/platform/platform_store_standin.h
@@ -0,0 +1,183 @@
+#ifndef TESTS_PLATFORM_PLATFORM_STORE_STANDIN_H_
+#define TESTS_PLATFORM_PLATFORM_STORE_STANDIN_H_
+
+#include <QHostAddress>
+#include <QHttpServer>
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <QUrlQuery>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace jayrill::platform {
+
+/// A small stand-in of the platform's store: keys, transactions and watches. It
+/// can be down, lose an answer after the write took effect, and forget its
+/// history. A watch answers at once instead of waiting.
+class platform_store_standin {
+ public:
+  platform_store_standin() {
+    using method = QHttpServerRequest::Method;
+    server_.route(
+        QStringLiteral("/v1/kv-range"), method::Get,
+        [this](const QHttpServerRequest& request) { return Range(request); });
+    server_.route(
+        QStringLiteral("/v1/kv-watch"), method::Get,
+        [this](const QHttpServerRequest& request) { return Watch(request); });
+    server_.route(QStringLiteral("/v1/kv-txn"), method::Post,
+                  [this](const QHttpServerRequest& request,
+                         QHttpServerResponder&& responder) {
+                    Txn(request, std::move(responder));
+                  });
+    port_ = server_.listen(QHostAddress::LocalHost);
+  }
+
+  std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+  std::uint64_t revision() const { return revision_; }
+
+  void SetDown(bool down) { down_ = down; }
+  void LoseNextAnswer() { lose_answer_ = true; }
+  void DropHistory() { history_begin_ = revision_; }
+
+  void Put(const std::string& key, const std::string& value) {
+    items_[key] = {value, ++revision_};
+    history_[revision_] = key;
+  }
+  void Delete(const std::string& key) {
+    items_.erase(key);
+    history_[++revision_] = key;
+  }
+
+ private:
+  using response = QHttpServerResponse;
+
+  struct item {
+    std::string value;
+    std::uint64_t revision = 0;
+  };
+
+  static response Status(int code) {
+    return response(static_cast<response::StatusCode>(code));
+  }
+
+  QJsonObject ToJson(const std::string& key) const {
+    const item& found = items_.at(key);
+    return {{QStringLiteral("key"), QString::fromStdString(key)},
+            {QStringLiteral("value"),
+             QString::fromLatin1(
+                 QByteArray::fromStdString(found.value).toBase64())},
+            {QStringLiteral("revision"), static_cast<qint64>(found.revision)}};
+  }
+
+  response Range(const QHttpServerRequest& request) {
+    if (down_) {
+      return Status(503);
+    }
+    const std::string prefix =
+        request.query().queryItemValue(QStringLiteral("prefix")).toStdString();
+    QJsonArray items;
+    for (const auto& [key, found] : items_) {
+      if (key.starts_with(prefix)) {
+        items.append(ToJson(key));
+      }
+    }
+    return QJsonObject{
+        {QStringLiteral("items"), items},
+        {QStringLiteral("has_more"), false},
+        {QStringLiteral("as_of"), static_cast<qint64>(revision_)}};
+  }
+
+  response Watch(const QHttpServerRequest& request) {
+    if (down_) {
+      return Status(503);
+    }
+    const std::string prefix =
+        request.query().queryItemValue(QStringLiteral("prefix")).toStdString();
+    const auto after =
+        request.query().queryItemValue(QStringLiteral("after")).toULongLong();
+    if (after < history_begin_) {
+      return Status(410);
+    }
+    QJsonArray events;
+    for (auto it = history_.upper_bound(after); it != history_.end(); ++it) {
+      if (!it->second.starts_with(prefix)) {
+        continue;
+      }
+      const auto found = items_.find(it->second);
+      if (found != items_.end() && found->second.revision == it->first) {
+        events.append(ToJson(it->second));
+      } else if (found == items_.end()) {
+        events.append(QJsonObject{
+            {QStringLiteral("key"), QString::fromStdString(it->second)},
+            {QStringLiteral("revision"), static_cast<qint64>(it->first)},
+            {QStringLiteral("deleted"), true}});
+      }
+    }
+    return QJsonObject{
+        {QStringLiteral("events"), events},
+        {QStringLiteral("as_of"), static_cast<qint64>(revision_)}};
+  }
+
+  void Txn(const QHttpServerRequest& request,
+           QHttpServerResponder&& responder) {
+    using status = QHttpServerResponder::StatusCode;
+    if (down_) {
+      responder.write(status::ServiceUnavailable);
+      return;
+    }
+    const QJsonObject body = QJsonDocument::fromJson(request.body()).object();
+    QJsonArray clashes;
+    const QJsonArray expected =
+        body.value(QStringLiteral("expected")).toArray();
+    for (const auto& value : expected) {
+      const QJsonObject row = value.toObject();
+      const std::string key =
+          row.value(QStringLiteral("key")).toString().toStdString();
+      const auto found = items_.find(key);
+      const std::uint64_t now =
+          found == items_.end() ? 0 : found->second.revision;
+      if (now != static_cast<std::uint64_t>(
+                     row.value(QStringLiteral("revision")).toDouble())) {
+        clashes.append(found == items_.end() ? QJsonObject() : ToJson(key));
+      }
+    }
+    if (!clashes.isEmpty()) {
+      const QJsonObject found{{QStringLiteral("items"), clashes}};
+      responder.write(QJsonDocument(found), status::PreconditionFailed);
+      return;
+    }
+    const QJsonArray puts = body.value(QStringLiteral("puts")).toArray();
+    for (const auto& value : puts) {
+      const QJsonObject row = value.toObject();
+      Put(row.value(QStringLiteral("key")).toString().toStdString(),
+          QByteArray::fromBase64(
+              row.value(QStringLiteral("value")).toString().toLatin1())
+              .toStdString());
+    }
+    if (lose_answer_) {
+      lose_answer_ = false;
+      unanswered_.push_back(std::move(responder));
+      return;
+    }
+    const QJsonObject done{
+        {QStringLiteral("revision"), static_cast<qint64>(revision_)}};
+    responder.write(QJsonDocument(done), status::Ok);
+  }
+
+  QHttpServer server_;
+  std::vector<QHttpServerResponder> unanswered_;
+  quint16 port_ = 0;
+  bool down_ = false;
+  bool lose_answer_ = false;
+  std::uint64_t revision_ = 1;
+  std::uint64_t history_begin_ = 0;
+  std::map<std::string, item> items_;
+  std::map<std::uint64_t, std::string> history_;
+};
+
+}  // namespace jayrill::platform
+
+#endif  // TESTS_PLATFORM_PLATFORM_STORE_STANDIN_H_
--- /dev/null
+++ b/tests/unit/leased_minion_test.cc
@@ -0,0 +1,173 @@
+#include "jayrill/agent/leased_minion.h"
+
+#include <gtest/gtest.h>
+
+#include <array>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "minion_standin.h"
+
+namespace jayrill {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Two agents with their minions, and an entry that starts each task again as
+/// soon as an agent says that it does not run.
+class rig {
+ public:
+  rig(std::uint64_t seed, minion_faults faults) : random_(seed) {
+    for (std::size_t i = 0; i < minions_.size(); ++i) {
+      minions_[i] = std::make_unique<minion_standin>(
+          time_, timers_, random_source(seed * 7 + i), monitor_, faults);
+      agents_[i] = std::make_unique<leased_minion>(
+          lease_settings{}, time_, timers_, *minions_[i],
+          minion_port::listener{
+              [this](std::uint64_t call, task_result outcome) {
+                results_[call] = std::move(outcome);
+              },
+              [this](std::uint64_t call) { OnFree(call); }});
+    }
+    Announce();
+  }
+
+  void Announce() {
+    for (std::size_t i = 0; i < minions_.size(); ++i) {
+      agents_[i]->OnAnnounced(minions_[i]->Announcement());
+    }
+  }
+
+  std::uint64_t Start(std::size_t agent, std::uint32_t task) {
+    task_call call;
+    call.id = ++last_call_;
+    call.order.job_name = "5c0e7a21d94b36f8";
+    call.order.task_index = task;
+    call.order.attempt = ++attempts_[task];
+    call.released = time_.Now();
+    call.deadline = time_.Now() + std::chrono::minutes(5);
+    tasks_[call.id] = task;
+    agents_[agent]->Run(call);
+    return call.id;
+  }
+
+  std::size_t Draw() { return random_.Below(agents_.size()); }
+  random_source& random() { return random_; }
+
+  manual_clock time_;
+  manual_scheduler timers_{time_};
+  run_monitor monitor_;
+  std::array<std::unique_ptr<minion_standin>, 2> minions_;
+  std::array<std::unique_ptr<leased_minion>, 2> agents_;
+  std::map<std::uint64_t, task_result> results_;
+  std::map<std::uint32_t, bool> done_;
+  bool repeat_ = true;
+
+ private:
+  void OnFree(std::uint64_t call) {
+    const std::uint32_t task = tasks_[call];
+    if (results_[call].outcome == task_outcome::kSucceeded) {
+      done_[task] = true;
+    } else if (repeat_) {
+      timers_.After(milliseconds(0), [this, task] { Start(Draw(), task); });
+    }
+  }
+
+  random_source random_;
+  std::uint64_t last_call_ = 0;
+  std::map<std::uint64_t, std::uint32_t> tasks_;
+  std::map<std::uint32_t, std::uint32_t> attempts_;
+};
+
+struct fault_case {
+  std::string name;
+  minion_faults faults;
+  bool crashes = false;
+};
+
+class leased_minion_property_test : public testing::TestWithParam<fault_case> {
+};
+
+// Guards against two runs of a task at the same time: after a lost answer, an
+// order that is carried out late, a stop in progress, a lapsed lease, or a new
+// life of the minion under the same name. Also against tasks that never end.
+TEST_P(leased_minion_property_test, RunsNeverOverlapAndAllTasksEnd) {
+  constexpr std::uint32_t kTasks = 12;
+  constexpr std::uint64_t kSeeds = 40;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    rig world(seed, GetParam().faults);
+    for (std::uint32_t task = 0; task < kTasks; ++task) {
+      world.Start(world.Draw(), task);
+    }
+    for (int second = 0; second < 20; ++second) {
+      world.timers_.RunFor(milliseconds(400 + world.random().Below(600)));
+      if (GetParam().crashes && world.random().Below(3) == 0) {
+        world.minions_[world.Draw()]->Crash();
+      }
+      world.Announce();
+    }
+    for (auto& minion : world.minions_) {
+      minion->SetFaults({});
+    }
+    for (int second = 0; second < 20; ++second) {
+      world.timers_.RunFor(milliseconds(1000));
+      world.Announce();
+    }
+    EXPECT_EQ(world.monitor_.overlaps(), 0) << "seed " << seed;
+    EXPECT_EQ(world.done_.size(), kTasks) << "seed " << seed;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    faults,
+    leased_minion_property_test,
+    testing::Values(fault_case{"none", {}, false},
+                    fault_case{"lost_answers", {.lost_answers = 30}, false},
+                    fault_case{"late_orders", {.late_orders = 20}, false},
+                    fault_case{"hangs", {.hangs = 30}, false},
+                    fault_case{"failures", {.failures = 50}, false},
+                    fault_case{"crashes", {}, true},
+                    fault_case{"all", {15, 10, 10, 10}, true}),
+    [](const auto& param) { return param.param.name; });
+
+// Guards against a run that outlives its agent's pause: its caller may have
+// repeated the job.
+TEST(leased_minion_test, APauseStopsAllRuns) {
+  rig world(1, {.hangs = 100});
+  world.repeat_ = false;
+  world.timers_.RunFor(milliseconds(50));
+  const std::uint64_t call = world.Start(0, 0);
+  world.timers_.RunFor(milliseconds(100));
+  EXPECT_EQ(world.agents_[0]->running(), 1U);
+  world.time_.Advance(milliseconds(700));
+  world.timers_.RunFor(milliseconds(400));
+  EXPECT_EQ(world.agents_[0]->running(), 0U);
+  EXPECT_EQ(world.results_[call].outcome, task_outcome::kInterrupted);
+}
+
+// Guards against a cancelled task that goes on.
+TEST(leased_minion_test, StopEndsTheRunSoon) {
+  rig world(1, {});
+  world.repeat_ = false;
+  world.timers_.RunFor(milliseconds(50));
+  const std::uint64_t call = world.Start(0, 0);
+  world.timers_.RunFor(milliseconds(10));
+  world.agents_[0]->Stop(call);
+  world.timers_.RunFor(milliseconds(250));
+  EXPECT_EQ(world.agents_[0]->running(), 0U);
+  EXPECT_NE(world.results_[call].outcome, task_outcome::kUnknown);
+}
+
+// Guards against a run that stands still until its deadline.
+TEST(leased_minion_test, ARunThatStandsStillIsStopped) {
+  rig world(1, {.hangs = 100});
+  world.repeat_ = false;
+  world.timers_.RunFor(milliseconds(50));
+  const std::uint64_t call = world.Start(0, 0);
+  world.timers_.RunFor(milliseconds(1200));
+  EXPECT_EQ(world.results_[call].outcome, task_outcome::kInterrupted);
+}
+
+}  // namespace
+}  // namespace jayrill
