Count the silence of an agent from its first start, and report more often

An agent without starts reports once a second; with the first start the entry applied the limit of 650 ms to a silence that began before it.

Ruled out: resets of connections (the entry itself had dropped them).

Change: the silence of an agent counts from the first outstanding start or the last sign of life, whichever is later. Status reports every 5 ms on the platform (20 ms between reports to each of four entries; before, 80 ms). A fuzz target reads every format.

--- /dev/null
+++ b/fuzz/platform_decode_fuzz.cc
@@ -0,0 +1,76 @@
+#include <QJsonDocument>
+#include <QJsonObject>
+
+#include <string>
+
+#include "fuzz_target.h"
+#include "platform/platform.h"
+
+namespace {
+
+using jayrill::fuzz::Require;
+
+void ReadJob(const std::string& text) {
+  const jayrill::platform::queue_format format;
+  jayrill::cluster_config config;
+  config.routes["r"] = {"h", "/p/", "s", "r", {}};
+  jayrill::http_request request;
+  request.path = "/p/5c0e7a21d94b36f8";
+  request.headers = {{"host", "h"}};
+  request.body = QByteArray::fromStdString(text);
+  const auto job = format.Decode(request, config);
+  if (job) {
+    Require(
+        !job->tasks.empty() && job->tasks.size() <= jayrill::kMaxTasksPerJob,
+        "a job has a number of tasks that is allowed");
+  } else {
+    Require(job.error().effect == jayrill::job_effect::kNotRun,
+            "a job that cannot be read has not run");
+  }
+}
+
+void ReadBeat(const std::string& text) {
+  const auto beat = jayrill::platform::ParseBeat("i", text);
+  if (beat) {
+    Require(!beat->minion.service.empty() && beat->minion.port != 0,
+            "a minion that is announced can be called");
+  }
+}
+
+void ReadReport(const std::string& text) {
+  const auto report = jayrill::platform::ParseReport(
+      QJsonDocument::fromJson(QByteArray::fromStdString(text)).object());
+  if (!report) {
+    return;
+  }
+  std::uint64_t last = 0;
+  for (const jayrill::ended_run& end : report->ended) {
+    Require(end.sequence >= last, "ends are in the order of their numbers");
+    last = end.sequence;
+  }
+}
+
+}  // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
+                                      std::size_t size) {
+  if (size == 0) {
+    return 0;
+  }
+  // The first byte selects the format, the rest is the text.
+  const std::string text(reinterpret_cast<const char*>(data) + 1, size - 1);
+  switch (data[0] % 4) {
+    case 0:
+      ReadJob(text);
+      break;
+    case 1:
+      ReadBeat(text);
+      break;
+    case 2:
+      ReadReport(text);
+      break;
+    default:
+      jayrill::platform::config_format().Translate({{"op/config", text}});
+  }
+  return 0;
+}
--- a/fuzz/rpc_decode_fuzz.cc
+++ b/fuzz/rpc_decode_fuzz.cc
@@ -20,8 +20,8 @@
   for (const jayrill::task_result& result :
        jayrill::Decode(report.getResults())) {
     Require(result.outcome >= jayrill::task_outcome::kSucceeded &&
-                result.outcome <= jayrill::task_outcome::kUnknown &&
-                result.reason <= jayrill::not_run_reason::kWrongService,
+                result.outcome <= jayrill::task_outcome::kInterrupted &&
+                result.reason <= jayrill::not_run_reason::kRefused,
             "enumerators are known");
     Require(result.run_time >= std::chrono::microseconds::zero() &&
                 result.run_time <= kDay &&
--- a/src/jayrill/cli/flags.h
+++ b/src/jayrill/cli/flags.h
@@ -39,6 +39,7 @@
 ABSL_DECLARE_FLAG(std::int64_t, repeat_after_ms);
 ABSL_DECLARE_FLAG(std::int64_t, lease_ms);
 ABSL_DECLARE_FLAG(std::int64_t, slow_start_ms);
+ABSL_DECLARE_FLAG(std::int64_t, status_interval_ms);
 ABSL_DECLARE_FLAG(std::int64_t, stop_delay_ms);
 ABSL_DECLARE_FLAG(std::int64_t, stop_limit_ms);
 
--- a/src/jayrill/cli/role_flags.cc
+++ b/src/jayrill/cli/role_flags.cc
@@ -101,3 +101,9 @@
           stop_limit_ms,
           120000,
           "Longest graceful stop of an agent");
+ABSL_FLAG(
+    std::int64_t,
+    status_interval_ms,
+    20,
+    "Shortest time between two status reports of an agent, for each entry "
+    "beyond the third once more");
--- a/src/jayrill/cli/role_settings.cc
+++ b/src/jayrill/cli/role_settings.cc
@@ -46,6 +46,8 @@
   settings.http_address = absl::GetFlag(FLAGS_announce_listen);
   settings.entries = absl::GetFlag(FLAGS_entries);
   settings.run_silence = RunSilence();
+  settings.status_interval =
+      std::chrono::milliseconds(absl::GetFlag(FLAGS_status_interval_ms));
   settings.stop_limit =
       std::chrono::milliseconds(absl::GetFlag(FLAGS_stop_limit_ms));
   settings.queue_limit =
--- a/src/jayrill/cli/settings_table.cc
+++ b/src/jayrill/cli/settings_table.cc
@@ -81,6 +81,7 @@
     {"slots", kNumber, kMinion, 0, "tasks", 1, 10'000},
     {"slow_start_ms", kNumber, kEntry, 0, kMs, 0, kDayMs},
     {"slowness", kNumber, kMinion, 0, "", 0.01, 100},
+    {"status_interval_ms", kNumber, kAgent, 0, kMs, 1, 1000},
     {"stop_delay_ms", kNumber, kEntry, 0, kMs, 0, kDayMs},
     {"stop_limit_ms", kNumber, kAgent, 0, kMs, 1, kDayMs},
     {"store_endpoints", kAddressList, kEntry, kEntry},
--- a/src/jayrill/entry/agent_session.cc
+++ b/src/jayrill/entry/agent_session.cc
@@ -146,6 +146,9 @@
                                  steady_time now,
                                  std::chrono::microseconds run_time,
                                  const resource_amount& needs) {
+  if (window_.outstanding() == 0) {
+    guarded_since_ = now;
+  }
   const start_number number = window_.Add(task);
   const std::chrono::duration<double, std::micro> expected =
       run_time * Slowness(now);
--- a/src/jayrill/entry/agent_session.h
+++ b/src/jayrill/entry/agent_session.h
@@ -1,6 +1,7 @@
 #ifndef JAYRILL_ENTRY_AGENT_SESSION_H_
 #define JAYRILL_ENTRY_AGENT_SESSION_H_
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -108,6 +109,12 @@
   bool in_service() const { return in_service_; }
   std::size_t outstanding() const { return window_.outstanding(); }
   steady_time last_heard() const { return last_heard_; }
+
+  /// \returns since when the agent owes a sign of life for its starts. An agent
+  /// without starts is heard from less often, so the first start begins anew.
+  steady_time SilentSince() const {
+    return std::max(last_heard_, guarded_since_);
+  }
   steady_time disconnected_since() const { return disconnected_since_; }
 
   /// \returns the run time of a task relative to the average minion. What was
@@ -160,6 +167,7 @@
   std::uint64_t expected_push_ = 0;
   steady_time joined_;
   steady_time last_heard_;
+  steady_time guarded_since_;  ///< First of the outstanding starts.
   steady_time disconnected_since_;
   steady_time avoid_until_;
   steady_time reported_free_;
--- a/src/jayrill/entry/dispatcher_sending.cc
+++ b/src/jayrill/entry/dispatcher_sending.cc
@@ -59,9 +59,11 @@
         limits_.run_silence.count() > 0 && session->outstanding() > 0;
     const auto silent = has_starts ? limits_.run_silence : silent_limit;
     const auto lost = has_starts ? limits_.run_silence : lost_limit;
-    if (session->connected() && now - session->last_heard() > silent) {
+    const steady_time heard =
+        has_starts ? session->SilentSince() : session->last_heard();
+    if (session->connected() && now - heard > silent) {
       output_.Disconnect(handle);
-      session->Disconnect(session->connection(), session->last_heard());
+      session->Disconnect(session->connection(), heard);
     }
     if (session->open() && !session->connected() &&
         now - session->disconnected_since() > lost) {
--- a/tests/unit/minion_health_test.cc
+++ b/tests/unit/minion_health_test.cc
@@ -146,5 +146,20 @@
   EXPECT_LT(session.Slowness(time.Now()), 1.1);
 }
 
+// Guards against a session that counts as lost with its first start, because
+// the agent had no reason to report before.
+TEST(session_silence_test, BeginsWithTheFirstStart) {
+  manual_clock time;
+  agent_session session(agent_handle{1}, "a1");
+  ASSERT_TRUE(
+      session.Connect(Hello(1, {}), connection_id{1}, time.Now(), false));
+  time.Advance(std::chrono::milliseconds(900));
+  session.Send({{incarnation{9}, 1}, 0}, time.Now(), kStep);
+  EXPECT_EQ(session.SilentSince(), time.Now());
+  time.Advance(kStep);
+  session.Send({{incarnation{9}, 2}, 0}, time.Now(), kStep);
+  EXPECT_EQ(session.SilentSince(), time.Now() - kStep);
+}
+
 }  // namespace
 }  // namespace jayrill
