Let the lease of a lost minion end, and do not blame minions for cancelled runs

Every new start that the agent sent to it extended the time until the lease is known to be over. Besides, the breaker counted runs that callers had cancelled as failures (log: last="cancelled").

Ruled out: the lease itself (1 s) and the report loop, which had stopped to renew after three failures as intended.

Change: an agent whose minion does not answer refuses new starts as not run. An interrupted run carries the cause if that says nothing about the minion (cancelled, expired, paused); the breaker ignores it.

--- a/src/jayrill/agent/agent_process.cc
+++ b/src/jayrill/agent/agent_process.cc
@@ -11,7 +11,7 @@
 
 agent_process::agent_process(agent_settings settings,
                              const clock& time,
-                             agent_parts parts)
+                             const agent_parts& parts)
     : settings_(std::move(settings)),
       time_(time),
       metrics_([this] { return agent::internal::ToText(view()); }),
--- a/src/jayrill/agent/agent_process.h
+++ b/src/jayrill/agent/agent_process.h
@@ -49,7 +49,7 @@
  public:
   agent_process(agent_settings settings,
                 const clock& time,
-                agent_parts parts = {});
+                const agent_parts& parts = {});
 
   /// Ends at once unless the graceful stop has finished; tasks that run are
   /// then unknown to their entries.
--- a/src/jayrill/agent/leased_minion.cc
+++ b/src/jayrill/agent/leased_minion.cc
@@ -91,6 +91,9 @@
   if (paused || left_) {
     Refuse(call, paused ? not_run_reason::kPaused : not_run_reason::kDraining,
            paused ? "the agent was paused" : "the minion is leaving");
+  } else if (failed_reports_ >= kFailuresToLetLapse) {
+    // An order now would extend the time until the lease is known to be over.
+    Refuse(call, not_run_reason::kNoMinion, "the minion does not answer");
   } else if (synced_) {
     Begin(call);
   } else {
@@ -112,7 +115,8 @@
   if (older != runs_.end()) {
     // The caller has repeated its job; two runs of a task must not overlap.
     waiting_.push_back(call);
-    StopRun(older->first, "the job was submitted again");
+    StopRun(older->first, "the job was submitted again",
+            not_run_reason::kCancelled);
     return;
   }
   leased_run run;
@@ -213,17 +217,20 @@
     waiting_.erase(waits);
     Refuse(withdrawn, not_run_reason::kCancelled, "cancelled");
   } else if (runs_.contains(call)) {
-    StopRun(call, "cancelled");
+    StopRun(call, "cancelled", not_run_reason::kCancelled);
   }
 }
 
-void leased_minion::StopRun(std::uint64_t id, const std::string& reason) {
+void leased_minion::StopRun(std::uint64_t id,
+                            const std::string& reason,
+                            not_run_reason cause) {
   leased_run& run = runs_.at(id);
   if (run.state == run_state::kStopping) {
     return;
   }
   run.state = run_state::kStopping;
   run.reason = reason;
+  run.cause = cause;
   SendStop(id);
 }
 
@@ -482,8 +489,11 @@
     result.message = run.reason.empty() ? "the run has ended" : run.reason;
   }
   if (outcome == task_outcome::kNotRun) {
-    result.reason = not_run_reason::kRefused;
+    result.reason = run.cause == not_run_reason::kNone
+                        ? not_run_reason::kRefused
+                        : run.cause;
   } else {
+    result.reason = run.cause;
     result.run_time = std::chrono::duration_cast<std::chrono::microseconds>(
         time_.Now() - run.ordered_at);
   }
@@ -543,7 +553,8 @@
   for (const std::uint64_t id : ids) {
     leased_run& run = runs_.at(id);
     if (run.state != run_state::kStopping && run.call.deadline <= now) {
-      StopRun(id, "the deadline of the job has passed");
+      StopRun(id, "the deadline of the job has passed",
+              not_run_reason::kExpired);
     } else if (run.state == run_state::kStopping && !run.stop_in_flight &&
                !run.stopped_before) {
       SendStop(id);
@@ -573,7 +584,7 @@
     ids.push_back(id);
   }
   for (const std::uint64_t id : ids) {
-    StopRun(id, "the agent was paused");
+    StopRun(id, "the agent was paused", not_run_reason::kPaused);
   }
 }
 
--- a/src/jayrill/agent/leased_minion.h
+++ b/src/jayrill/agent/leased_minion.h
@@ -81,6 +81,8 @@
     std::uint64_t running_before = 0;  ///< Same for a run that has started.
     bool stop_in_flight = false;
     std::string reason;  ///< Why it is stopped.
+    /// Why it is stopped, if that says nothing about the minion.
+    not_run_reason cause = not_run_reason::kNone;
   };
   using run_map = std::map<std::uint64_t, leased_run>;
 
@@ -89,7 +91,9 @@
   void OnStartAnswer(std::uint64_t id,
                      std::uint32_t attempt,
                      start_answer answer);
-  void StopRun(std::uint64_t id, const std::string& reason);
+  void StopRun(std::uint64_t id,
+               const std::string& reason,
+               not_run_reason cause = not_run_reason::kNone);
   void SendStop(std::uint64_t id);
   void OnStopAnswer(std::uint64_t id, start_answer answer);
   void StopForeign(const run_name& run);
--- a/src/jayrill/entry/agent_session.cc
+++ b/src/jayrill/entry/agent_session.cc
@@ -179,6 +179,12 @@
 }
 
 void agent_session::OnOutcome(const task_result& result, steady_time now) {
+  const bool says_nothing = result.outcome == task_outcome::kInterrupted &&
+                            result.reason != not_run_reason::kNone;
+  if (says_nothing) {
+    health_.OnNotRun();
+    return;
+  }
   if (result.outcome != task_outcome::kNotRun) {
     const bool was_closed = health_.is_closed();
     health_.OnResult(result.outcome == task_outcome::kSucceeded, now);
--- a/tests/platform/kv_store_test.cc
+++ b/tests/platform/kv_store_test.cc
@@ -29,8 +29,9 @@
                            std::uint64_t expected,
                            const std::string& value) {
     std::optional<result<swap_result>> answer;
-    store_->CompareAndSwap(key, {expected}, value, std::nullopt,
-                           [&](result<swap_result> swap) { answer = swap; });
+    store_->CompareAndSwap(
+        key, {expected}, value, std::nullopt,
+        [&](const result<swap_result>& swap) { answer = swap; });
     EXPECT_TRUE(WaitFor([&] { return answer.has_value(); }));
     return *answer;
   }
--- a/tests/unit/leased_minion_test.cc
+++ b/tests/unit/leased_minion_test.cc
@@ -19,14 +19,14 @@
 class rig {
  public:
   rig(std::uint64_t seed, minion_faults faults) : random_(seed) {
-    for (std::size_t i = 0; i < minions_.size(); ++i) {
-      minions_[i] = std::make_unique<minion_standin>(
-          time_, timers_, random_source(seed * 7 + i), monitor_, faults);
-      agents_[i] = std::make_unique<leased_minion>(
-          lease_settings{}, time_, timers_, *minions_[i],
+    for (std::size_t i = 0; i < minions.size(); ++i) {
+      minions[i] = std::make_unique<minion_standin>(
+          time, timers, random_source(seed * 7 + i), monitor, faults);
+      agents[i] = std::make_unique<leased_minion>(
+          lease_settings{}, time, timers, *minions[i],
           minion_port::listener{
               [this](std::uint64_t call, task_result outcome) {
-                results_[call] = std::move(outcome);
+                results[call] = std::move(outcome);
               },
               [this](std::uint64_t call) { OnFree(call); }});
     }
@@ -34,8 +34,8 @@
   }
 
   void Announce() {
-    for (std::size_t i = 0; i < minions_.size(); ++i) {
-      agents_[i]->OnAnnounced(minions_[i]->Announcement());
+    for (std::size_t i = 0; i < minions.size(); ++i) {
+      agents[i]->OnAnnounced(minions[i]->Announcement());
     }
   }
 
@@ -45,32 +45,32 @@
     call.order.job_name = "5c0e7a21d94b36f8";
     call.order.task_index = task;
     call.order.attempt = ++attempts_[task];
-    call.released = time_.Now();
-    call.deadline = time_.Now() + std::chrono::minutes(5);
+    call.released = time.Now();
+    call.deadline = time.Now() + std::chrono::minutes(5);
     tasks_[call.id] = task;
-    agents_[agent]->Run(call);
+    agents[agent]->Run(call);
     return call.id;
   }
 
-  std::size_t Draw() { return random_.Below(agents_.size()); }
+  std::size_t Draw() { return random_.Below(agents.size()); }
   random_source& random() { return random_; }
 
-  manual_clock time_;
-  manual_scheduler timers_{time_};
-  run_monitor monitor_;
-  std::array<std::unique_ptr<minion_standin>, 2> minions_;
-  std::array<std::unique_ptr<leased_minion>, 2> agents_;
-  std::map<std::uint64_t, task_result> results_;
-  std::map<std::uint32_t, bool> done_;
-  bool repeat_ = true;
+  manual_clock time;
+  manual_scheduler timers{time};
+  run_monitor monitor;
+  std::array<std::unique_ptr<minion_standin>, 2> minions;
+  std::array<std::unique_ptr<leased_minion>, 2> agents;
+  std::map<std::uint64_t, task_result> results;
+  std::map<std::uint32_t, bool> done;
+  bool repeat = true;
 
  private:
   void OnFree(std::uint64_t call) {
     const std::uint32_t task = tasks_[call];
-    if (results_[call].outcome == task_outcome::kSucceeded) {
-      done_[task] = true;
-    } else if (repeat_) {
-      timers_.After(milliseconds(0), [this, task] { Start(Draw(), task); });
+    if (results[call].outcome == task_outcome::kSucceeded) {
+      done[task] = true;
+    } else if (repeat) {
+      timers.After(milliseconds(0), [this, task] { Start(Draw(), task); });
     }
   }
 
@@ -101,21 +101,21 @@
       world.Start(world.Draw(), task);
     }
     for (int second = 0; second < 20; ++second) {
-      world.timers_.RunFor(milliseconds(400 + world.random().Below(600)));
+      world.timers.RunFor(milliseconds(400 + world.random().Below(600)));
       if (GetParam().crashes && world.random().Below(3) == 0) {
-        world.minions_[world.Draw()]->Crash();
+        world.minions[world.Draw()]->Crash();
       }
       world.Announce();
     }
-    for (auto& minion : world.minions_) {
+    for (auto& minion : world.minions) {
       minion->SetFaults({});
     }
     for (int second = 0; second < 20; ++second) {
-      world.timers_.RunFor(milliseconds(1000));
+      world.timers.RunFor(milliseconds(1000));
       world.Announce();
     }
-    EXPECT_EQ(world.monitor_.overlaps(), 0) << "seed " << seed;
-    EXPECT_EQ(world.done_.size(), kTasks) << "seed " << seed;
+    EXPECT_EQ(world.monitor.overlaps(), 0) << "seed " << seed;
+    EXPECT_EQ(world.done.size(), kTasks) << "seed " << seed;
   }
 }
 
@@ -135,38 +135,54 @@
 // repeated the job.
 TEST(leased_minion_test, APauseStopsAllRuns) {
   rig world(1, {.hangs = 100});
-  world.repeat_ = false;
-  world.timers_.RunFor(milliseconds(50));
+  world.repeat = false;
+  world.timers.RunFor(milliseconds(50));
   const std::uint64_t call = world.Start(0, 0);
-  world.timers_.RunFor(milliseconds(100));
-  EXPECT_EQ(world.agents_[0]->running(), 1U);
-  world.time_.Advance(milliseconds(700));
-  world.timers_.RunFor(milliseconds(400));
-  EXPECT_EQ(world.agents_[0]->running(), 0U);
-  EXPECT_EQ(world.results_[call].outcome, task_outcome::kInterrupted);
+  world.timers.RunFor(milliseconds(100));
+  EXPECT_EQ(world.agents[0]->running(), 1U);
+  world.time.Advance(milliseconds(700));
+  world.timers.RunFor(milliseconds(400));
+  EXPECT_EQ(world.agents[0]->running(), 0U);
+  EXPECT_EQ(world.results[call].outcome, task_outcome::kInterrupted);
+}
+
+// Guards against a minion that is gone and whose runs count as present for as
+// long as new starts arrive.
+TEST(leased_minion_test, RunsOfAMinionThatIsGoneEndWithTheirLease) {
+  rig world(1, {.hangs = 100});
+  world.repeat = false;
+  world.timers.RunFor(milliseconds(50));
+  const std::uint64_t call = world.Start(0, 0);
+  world.timers.RunFor(milliseconds(50));
+  world.minions[0]->SetFaults({.lost_answers = 100});
+  for (std::uint32_t task = 1; task < 40; ++task) {
+    world.Start(0, task);
+    world.timers.RunFor(milliseconds(100));
+  }
+  EXPECT_EQ(world.results[call].outcome, task_outcome::kInterrupted);
 }
 
 // Guards against a cancelled task that goes on.
 TEST(leased_minion_test, StopEndsTheRunSoon) {
   rig world(1, {});
-  world.repeat_ = false;
-  world.timers_.RunFor(milliseconds(50));
+  world.repeat = false;
+  world.timers.RunFor(milliseconds(50));
   const std::uint64_t call = world.Start(0, 0);
-  world.timers_.RunFor(milliseconds(10));
-  world.agents_[0]->Stop(call);
-  world.timers_.RunFor(milliseconds(250));
-  EXPECT_EQ(world.agents_[0]->running(), 0U);
-  EXPECT_NE(world.results_[call].outcome, task_outcome::kUnknown);
+  world.timers.RunFor(milliseconds(10));
+  world.agents[0]->Stop(call);
+  world.timers.RunFor(milliseconds(250));
+  EXPECT_EQ(world.agents[0]->running(), 0U);
+  EXPECT_NE(world.results[call].outcome, task_outcome::kUnknown);
 }
 
 // Guards against a run that stands still until its deadline.
 TEST(leased_minion_test, ARunThatStandsStillIsStopped) {
   rig world(1, {.hangs = 100});
-  world.repeat_ = false;
-  world.timers_.RunFor(milliseconds(50));
+  world.repeat = false;
+  world.timers.RunFor(milliseconds(50));
   const std::uint64_t call = world.Start(0, 0);
-  world.timers_.RunFor(milliseconds(1200));
-  EXPECT_EQ(world.results_[call].outcome, task_outcome::kInterrupted);
+  world.timers.RunFor(milliseconds(1200));
+  EXPECT_EQ(world.results[call].outcome, task_outcome::kInterrupted);
 }
 
 }  // namespace
--- a/tests/unit/minion_health_test.cc
+++ b/tests/unit/minion_health_test.cc
@@ -146,6 +146,24 @@
   EXPECT_LT(session.Slowness(time.Now()), 1.1);
 }
 
+// Guards against a sound minion that is closed because callers cancel.
+TEST(cancelled_run_test, SaysNothingAboutTheMinion) {
+  manual_clock time;
+  agent_session session(agent_handle{1}, "a1");
+  ASSERT_TRUE(
+      session.Connect(Hello(1, {}), connection_id{1}, time.Now(), false));
+  for (std::uint64_t i = 0; i < 20; ++i) {
+    const start_number number =
+        session.Send({{incarnation{9}, i}, 0}, time.Now(), kStep);
+    session.Take(number);
+    task_result result;
+    result.outcome = task_outcome::kInterrupted;
+    result.reason = not_run_reason::kCancelled;
+    session.OnOutcome(result, time.Now());
+  }
+  EXPECT_TRUE(session.IsUsable(config_revision{}, time.Now()));
+}
+
 // Guards against a session that counts as lost with its first start, because
 // the agent had no reason to report before.
 TEST(session_silence_test, BeginsWithTheFirstStart) {
