Raise an entry's share of a quota only after the others have lowered theirs

Entries compute their shares from records that arrive at different times; one that has seen the others' demand fall raises its share before they have lowered theirs.

Ruled out: the count of running tasks at an entry (each holds its own share), and stale statuses (the minions' records show it).

Change: a smaller share counts at once, a larger one 1 s later. A task that runs longer than that can still overlap.

The property stands in placement_test, which fails when OfferShare sets the share at once.

--- a/src/jayrill/entry/dispatcher_sending.cc
+++ b/src/jayrill/entry/dispatcher_sending.cc
@@ -40,6 +40,7 @@
   BeginEvent();
   pause_.Tick();
   CheckSessions();
+  teams_.ApplyDue(time_.Now());
   if (config_) {
     CheckObstacles();
   }
--- a/src/jayrill/placement/quota_ledger.cc
+++ b/src/jayrill/placement/quota_ledger.cc
@@ -11,6 +11,36 @@
   shares_.insert_or_assign(std::string(team), share);
 }
 
+void quota_ledger::OfferShare(std::string_view team,
+                              double share,
+                              steady_time now) {
+  const auto current = shares_.find(team);
+  if (current == shares_.end() || share <= current->second) {
+    SetShare(team, share);
+    if (const auto pending = increases_.find(team);
+        pending != increases_.end()) {
+      increases_.erase(pending);
+    }
+    return;
+  }
+  const auto [pending, added] =
+      increases_.try_emplace(std::string(team), pending_share{share, now});
+  if (added) {
+    pending->second.due = now + kIncreaseDelay;
+  }
+  pending->second.share = std::min(pending->second.share, share);
+}
+
+void quota_ledger::ApplyDue(steady_time now) {
+  std::erase_if(increases_, [&](const auto& entry) {
+    if (entry.second.due > now) {
+      return false;
+    }
+    SetShare(entry.first, entry.second.share);
+    return true;
+  });
+}
+
 bool quota_ledger::MayStart(std::string_view team, std::uint32_t quota) const {
   if (quota == 0) {
     return true;
--- a/src/jayrill/placement/quota_ledger.h
+++ b/src/jayrill/placement/quota_ledger.h
@@ -1,11 +1,14 @@
 #ifndef JAYRILL_PLACEMENT_QUOTA_LEDGER_H_
 #define JAYRILL_PLACEMENT_QUOTA_LEDGER_H_
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
 
+#include "jayrill/base/clock.h"
+
 namespace jayrill {
 
 /// Counts the running tasks of each team at one entry against this entry's
@@ -15,6 +18,18 @@
   /// Sets this entry's share of a team's quota, 0 to 1.
   void SetShare(std::string_view team, double share);
 
+  /// Delay of a larger share. Entries learn of each other's demand at different
+  /// times; by then the others have lowered theirs, so that the shares of all
+  /// entries together never pass the quota while records are on their way.
+  static constexpr std::chrono::milliseconds kIncreaseDelay{1000};
+
+  /// Notes the share that follows from the demand of all entries. A smaller one
+  /// counts at once, a larger one after kIncreaseDelay.
+  void OfferShare(std::string_view team, double share, steady_time now);
+
+  /// Applies the larger shares that are due.
+  void ApplyDue(steady_time now);
+
   /// Sets the share of every team that has none of its own.
   void SetDefaultShare(double share) { default_share_ = share; }
 
@@ -33,7 +48,13 @@
   std::uint32_t Running(std::string_view team) const;
 
  private:
+  struct pending_share {
+    double share = 0;
+    steady_time due;
+  };
+
   std::map<std::string, double, std::less<>> shares_;
+  std::map<std::string, pending_share, std::less<>> increases_;
   std::map<std::string, std::uint32_t, std::less<>> running_;
   double default_share_ = 1.0;
 };
--- a/tests/unit/placement_test.cc
+++ b/tests/unit/placement_test.cc
@@ -218,6 +218,32 @@
   EXPECT_TRUE(ledger.MayStart("blue", 0));
 }
 
+// Guards against entries whose shares pass the quota together while they learn
+// of each other's demand at different times.
+TEST(quota_ledger_test, ALargerShareWaitsUntilOthersHaveLoweredTheirs) {
+  manual_clock time;
+  quota_ledger ledger;
+  ledger.OfferShare("red", 0.5, time.Now());
+  ledger.OfferShare("red", 1.0, time.Now());
+  const auto starts = [&ledger] {
+    int count = 0;
+    while (ledger.MayStart("red", 10)) {
+      ledger.OnStart("red");
+      ++count;
+    }
+    for (int i = 0; i < count; ++i) {
+      ledger.OnEnd("red");
+    }
+    return count;
+  };
+  EXPECT_EQ(starts(), 5);
+  time.Advance(quota_ledger::kIncreaseDelay);
+  ledger.ApplyDue(time.Now());
+  EXPECT_EQ(starts(), 10);
+  ledger.OfferShare("red", 0.2, time.Now());
+  EXPECT_EQ(starts(), 2);
+}
+
 // Guards against a stampede on a minion that has just returned.
 TEST(slow_start_test, GrowsFromOneToAllSlots) {
   const steady_time since{};
