--- a/src/jayrill/cli/agent_role.cc
+++ b/src/jayrill/cli/agent_role.cc
@@ -1,8 +1,6 @@
 #include <absl/flags/flag.h>
 #include <glog/logging.h>
 
-#include <utility>
-
 #include "jayrill/agent/agent_process.h"
 #include "jayrill/base/clock.h"
 #include "jayrill/cli/command.h"
@@ -23,7 +21,7 @@
     lease.lease = std::chrono::milliseconds(absl::GetFlag(FLAGS_lease_ms));
     parts = adapter.Parts(lease);
   }
-  agent_process agent(AgentSettingsFromFlags(), time, std::move(parts));
+  agent_process agent(AgentSettingsFromFlags(), time, parts);
   agent.OnStopped([&application] { application.Finish(kExitOk); });
   if (const result<void> started = agent.Start(); !started) {
     return FailToStart("agent", started.error());
