Bound the status reports of all agents by the processor share of an entry

Cause: each start and end at an agent is reported to every entry. With 53 agents and 8 entries an entry of 0.12 cores got up to 1,325 reports a second (one each 40 ms from each agent), more than it got results, and the reports took most of its processor time.

Ruled out: the policy.

Change: an entry tells its agents, in the welcome and in each answer, how long to leave between reports without results: its sessions divided by 1,000 reports a second for each core that it may use (new setting processor_cores). Agents take the longer of that and their own interval.

Tests: report_schedule_test, two new cases; they do not compile without the change.

--- a/src/jayrill/agent/entry_link.cc
+++ b/src/jayrill/agent/entry_link.cc
@@ -159,6 +159,8 @@
   schedule_.Open(shared_.time.Now(),
                  std::chrono::milliseconds(welcome.getHeartbeatMs()),
                  shared_.core.Status());
+  schedule_.SetWantedStatusInterval(
+      std::chrono::milliseconds(welcome.getStatusMs()));
   shared_.core.SetHeartbeat(schedule_.heartbeat());
   shared_.core.OnHeard(entry_);
   shared_.core.OfferConfig(ToCopy(welcome.getConfig()));
@@ -346,7 +348,8 @@
   connection_->tasks.add(request.send().then(
       [this, serial = serial_, numbers = std::move(numbers)](auto&& response) {
         OnAcknowledged(serial, numbers,
-                       std::chrono::milliseconds(response.getHeartbeatMs()));
+                       std::chrono::milliseconds(response.getHeartbeatMs()),
+                       std::chrono::milliseconds(response.getStatusMs()));
       }));
   if (session.has_unsent()) {
     ScheduleReport();
@@ -355,10 +358,12 @@
 
 void entry_link::OnAcknowledged(std::uint64_t serial,
                                 const std::vector<start_number>& numbers,
-                                std::chrono::milliseconds heartbeat) {
+                                std::chrono::milliseconds heartbeat,
+                                std::chrono::milliseconds status_interval) {
   if (!Hear(serial)) {
     return;
   }
+  schedule_.SetWantedStatusInterval(status_interval);
   schedule_.SetHeartbeat(heartbeat);
   shared_.core.SetHeartbeat(schedule_.heartbeat());
   --reports_in_flight_;
--- a/src/jayrill/agent/entry_link.h
+++ b/src/jayrill/agent/entry_link.h
@@ -90,7 +90,8 @@
   bool ShallSendConfig(bool heartbeat) const;
   void OnAcknowledged(std::uint64_t serial,
                       const std::vector<start_number>& numbers,
-                      std::chrono::milliseconds heartbeat);
+                      std::chrono::milliseconds heartbeat,
+                      std::chrono::milliseconds status_interval);
   void ReportStatusWhenDue();
   void SetListed(capnp::List<capnp::Text>::Reader entries);
   bool IsCurrent(std::uint64_t serial) const;
--- a/src/jayrill/agent/report_schedule.cc
+++ b/src/jayrill/agent/report_schedule.cc
@@ -13,6 +13,7 @@
 constexpr std::chrono::milliseconds kShortestHeartbeat{100};
 constexpr std::chrono::milliseconds kLongestHeartbeat{60'000};
 constexpr std::chrono::milliseconds kDefaultHeartbeat{1000};
+constexpr std::chrono::milliseconds kLongestStatusInterval{1000};
 
 // The estimate changes with every start and is no reason for a report.
 minion_status WithoutEstimate(minion_status status) {
@@ -26,6 +27,7 @@
                            std::chrono::milliseconds heartbeat,
                            const minion_status& sent) {
   heartbeat_ = kDefaultHeartbeat;
+  wanted_status_interval_ = {};
   SetHeartbeat(heartbeat);
   heard_ = now;
   reported_ = now;
@@ -38,6 +40,11 @@
   }
 }
 
+void report_schedule::SetWantedStatusInterval(
+    std::chrono::milliseconds interval) {
+  wanted_status_interval_ = std::min(interval, kLongestStatusInterval);
+}
+
 void report_schedule::OnReport(steady_time now, const minion_status& sent) {
   reported_ = now;
   sent_ = WithoutEstimate(sent);
@@ -48,7 +55,7 @@
   if (WithoutEstimate(current) == sent_) {
     return std::nullopt;
   }
-  return reported_ + status_interval_;
+  return reported_ + std::max(status_interval_, wanted_status_interval_);
 }
 
 bool report_schedule::IsHeartbeatDue(steady_time now) const {
--- a/src/jayrill/agent/report_schedule.h
+++ b/src/jayrill/agent/report_schedule.h
@@ -41,11 +41,15 @@
   /// The entry asks for another \p heartbeat interval; 0 changes nothing.
   void SetHeartbeat(std::chrono::milliseconds heartbeat);
 
-  /// Sets the shortest time between two reports without results.
+  /// Sets the shortest time between two reports without results, as far as the
+  /// agent decides it.
   void SetStatusInterval(std::chrono::milliseconds interval) {
     status_interval_ = interval;
   }
 
+  /// The entry asks for at least \p interval between reports without results.
+  void SetWantedStatusInterval(std::chrono::milliseconds interval);
+
   /// Something arrived from the entry.
   void OnHeard(steady_time now) { heard_ = now; }
 
@@ -70,6 +74,7 @@
 
  private:
   std::chrono::milliseconds status_interval_;
+  std::chrono::milliseconds wanted_status_interval_{};
   std::chrono::milliseconds heartbeat_{1000};
   steady_time heard_;
   steady_time reported_;
--- a/src/jayrill/cli/flags.h
+++ b/src/jayrill/cli/flags.h
@@ -36,6 +36,7 @@
 ABSL_DECLARE_FLAG(bool, demo);
 ABSL_DECLARE_FLAG(bool, platform);
 ABSL_DECLARE_FLAG(std::string, health_listen);
+ABSL_DECLARE_FLAG(double, processor_cores);
 ABSL_DECLARE_FLAG(std::int64_t, repeat_after_ms);
 ABSL_DECLARE_FLAG(std::int64_t, lease_ms);
 ABSL_DECLARE_FLAG(std::int64_t, slow_start_ms);
--- a/src/jayrill/cli/role_flags.cc
+++ b/src/jayrill/cli/role_flags.cc
@@ -80,6 +80,11 @@
           health_listen,
           "",
           "Second address of the entry, for readiness and metrics only");
+ABSL_FLAG(double,
+          processor_cores,
+          1.0,
+          "Processor time that the entry may use; agents report less often to "
+          "one with less");
 ABSL_FLAG(std::int64_t,
           repeat_after_ms,
           0,
--- a/src/jayrill/cli/role_settings.cc
+++ b/src/jayrill/cli/role_settings.cc
@@ -33,6 +33,7 @@
   settings.stop_delay =
       std::chrono::milliseconds(absl::GetFlag(FLAGS_stop_delay_ms));
   settings.strategy = absl::GetFlag(FLAGS_placement_strategy);
+  settings.processor_cores = absl::GetFlag(FLAGS_processor_cores);
   settings.operator_secret = absl::GetFlag(FLAGS_operator_secret);
   return settings;
 }
--- a/src/jayrill/cli/settings_table.cc
+++ b/src/jayrill/cli/settings_table.cc
@@ -65,6 +65,7 @@
     {"placement_strategy", kChoice, kEntry | kStandalone, 0, "", 0, 0,
      "jayrill,random,round_robin,least_of_two"},
     {"platform", kSwitch, kProcesses},
+    {"processor_cores", kNumber, kEntry, 0, "cores", 0.01, 1024},
     {"profile", kName, kService},
     {"queue_limit", kNumber, kAgent | kStandalone, 0, "starts", 1, 100'000},
     {"rack", kName, kAgent},
--- a/src/jayrill/entry/agent_server.h
+++ b/src/jayrill/entry/agent_server.h
@@ -18,6 +18,7 @@
 #include "jayrill/entry/dispatch_output.h"
 #include "jayrill/entry/dispatch_settings.h"
 #include "jayrill/entry/dispatcher.h"
+#include "jayrill/entry/heartbeat.h"
 
 namespace jayrill {
 
@@ -63,6 +64,12 @@
   const dispatch_settings& settings() const { return settings_; }
   const std::vector<std::string>& entries() const { return entries_; }
 
+  /// \returns the time that agents leave between reports without results.
+  std::chrono::milliseconds status_interval() const {
+    return StatusReportInterval(core_.open_sessions(),
+                                settings_.processor_cores);
+  }
+
   /// The heartbeat interval as of the last tick.
   std::chrono::milliseconds heartbeat() const { return heartbeat_; }
   const clock& time() const { return time_; }
--- a/src/jayrill/entry/dispatch_settings.h
+++ b/src/jayrill/entry/dispatch_settings.h
@@ -30,6 +30,7 @@
   std::string data_centre;
   std::string listen = "127.0.0.1:0";  ///< IP:port for agents; port 0: any.
   std::string strategy = "jayrill";
+  double processor_cores = 1;  ///< That the entry may use.
   dispatch_limits limits;
   std::uint64_t random_seed = 0;  ///< For strategies that draw at random.
 };
--- a/src/jayrill/entry/entry_port_server.cc
+++ b/src/jayrill/entry/entry_port_server.cc
@@ -61,6 +61,8 @@
   }
   welcome.setHeartbeatMs(static_cast<std::uint32_t>(
       HeartbeatInterval(server.core().open_sessions()).count()));
+  welcome.setStatusMs(
+      static_cast<std::uint32_t>(server.status_interval().count()));
   welcome.setResumed(reply->resumed);
   results.setSession(kj::heap<entry_session_server>(connection_));
   server.ScheduleFlush();
@@ -77,8 +79,10 @@
                              jayrill::Decode(report.getStatus()));
   server.ScheduleFlush();
   KJ_REQUIRE(accepted, "the connection is not the current one of its agent");
-  context.getResults().setHeartbeatMs(
-      static_cast<std::uint32_t>(server.heartbeat().count()));
+  auto answer = context.getResults();
+  answer.setHeartbeatMs(static_cast<std::uint32_t>(server.heartbeat().count()));
+  answer.setStatusMs(
+      static_cast<std::uint32_t>(server.status_interval().count()));
   connection_.OnReportAnswered();
   return kj::READY_NOW;
 }
--- a/src/jayrill/entry/entry_process.cc
+++ b/src/jayrill/entry/entry_process.cc
@@ -37,6 +37,7 @@
   dispatch.data_centre = settings.data_centre;
   dispatch.listen = settings.rpc_listen;
   dispatch.strategy = settings.strategy;
+  dispatch.processor_cores = settings.processor_cores;
   dispatch.limits = settings.limits;
   dispatch.random_seed = seed;
   return dispatch;
--- a/src/jayrill/entry/entry_settings.h
+++ b/src/jayrill/entry/entry_settings.h
@@ -23,6 +23,8 @@
   /// memory of this process, for standalone use.
   std::vector<std::string> store_endpoints;
   std::string strategy = "jayrill";
+  /// Cores that the entry may use.
+  double processor_cores = 1;
   /// Second address, for health and metrics only; empty: none.
   std::string health_listen;
   /// Path on which health_listen tells whether the entry is ready.
--- a/src/jayrill/entry/heartbeat.h
+++ b/src/jayrill/entry/heartbeat.h
@@ -27,6 +27,21 @@
                   std::chrono::milliseconds(millis));
 }
 
+/// Reports without results that an entry takes a second from all agents
+/// together, for each core that it may use. One costs about 0.1 ms, so they
+/// take at most a tenth of its processor time.
+inline constexpr double kStatusReportsPerCore = 1000;
+
+/// \returns the shortest time between two reports without results of one
+/// agent, for an entry with \p sessions that may use \p cores.
+inline std::chrono::milliseconds StatusReportInterval(std::size_t sessions,
+                                                      double cores) {
+  const double seconds =
+      static_cast<double>(sessions) / (kStatusReportsPerCore * cores);
+  return std::chrono::ceil<std::chrono::milliseconds>(
+      std::chrono::duration<double>(seconds));
+}
+
 }  // namespace jayrill
 
 #endif  // JAYRILL_ENTRY_HEARTBEAT_H_
--- a/src/jayrill/rpc/dispatch.capnp
+++ b/src/jayrill/rpc/dispatch.capnp
@@ -19,7 +19,7 @@
 }
 
 interface EntrySession {
-  report @0 (report :AgentReport) -> (heartbeatMs :UInt32);
+  report @0 (report :AgentReport) -> (heartbeatMs :UInt32, statusMs :UInt32);
   # Results and the state of the minion; also the heartbeat of the agent. The
   # return acknowledges every result in it. It carries the heartbeat interval,
   # which changes with the number of sessions of the entry; 0: unchanged.
@@ -67,6 +67,7 @@
   heartbeatMs @2 :UInt32;
   resumed @3 :Bool;          # false: the entry knows no such session, and the
                              # agent drops unacknowledged results of it
+  statusMs @4 :UInt32;       # shortest time between two reports without results
 }
 
 struct Config {
--- a/src/jayrill/rpc/dispatch.capnp.h
+++ b/src/jayrill/rpc/dispatch.capnp.h
@@ -425,7 +425,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9314e51a09c847cb, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(9314e51a09c847cb, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1109,6 +1109,8 @@
 
   inline  ::uint32_t getHeartbeatMs() const;
 
+  inline  ::uint32_t getStatusMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1140,6 +1142,9 @@
   inline  ::uint32_t getHeartbeatMs();
   inline void setHeartbeatMs( ::uint32_t value);
 
+  inline  ::uint32_t getStatusMs();
+  inline void setStatusMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2267,6 +2272,8 @@
 
   inline bool getResumed() const;
 
+  inline  ::uint32_t getStatusMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2316,6 +2323,9 @@
   inline bool getResumed();
   inline void setResumed(bool value);
 
+  inline  ::uint32_t getStatusMs();
+  inline void setStatusMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3443,6 +3453,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t EntrySession::ReportResults::Reader::getStatusMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t EntrySession::ReportResults::Builder::getStatusMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void EntrySession::ReportResults::Builder::setStatusMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline AgentPort::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -4072,6 +4096,20 @@
       ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t EntryWelcome::Reader::getStatusMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t EntryWelcome::Builder::getStatusMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void EntryWelcome::Builder::setStatusMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Config::Reader::getRevision() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/tests/unit/report_schedule_test.cc
+++ b/tests/unit/report_schedule_test.cc
@@ -6,6 +6,7 @@
 #include "jayrill/agent/backoff.h"
 #include "jayrill/base/clock.h"
 #include "jayrill/base/random_source.h"
+#include "jayrill/entry/heartbeat.h"
 
 namespace jayrill {
 namespace {
@@ -51,6 +52,44 @@
   EXPECT_EQ(StatusInterval(milliseconds(20), 12), milliseconds(240));
 }
 
+// Guards against an entry with little processor time whose agents report at a
+// rate that takes most of it.
+TEST(report_schedule_test, ReportsAsSeldomAsTheEntryWants) {
+  const steady_time start{std::chrono::hours(1)};
+  report_schedule schedule(milliseconds(20));
+  schedule.Open(start, milliseconds(1000), {});
+  minion_status status;
+  status.busy = 1;
+  schedule.SetWantedStatusInterval(milliseconds(440));
+  EXPECT_EQ(schedule.StatusDue(status), start + milliseconds(440));
+  schedule.SetWantedStatusInterval(milliseconds(5));
+  EXPECT_EQ(schedule.StatusDue(status), start + milliseconds(20));
+  schedule.SetWantedStatusInterval(milliseconds(60'000));
+  EXPECT_EQ(schedule.StatusDue(status), start + milliseconds(1000));
+  schedule.Open(start, milliseconds(1000), {});
+  EXPECT_EQ(schedule.StatusDue(status), start + milliseconds(20));
+}
+
+struct interval_case {
+  std::size_t sessions;
+  double cores;
+  milliseconds interval;
+};
+
+// Guards against reports of all agents that together take more than a tenth of
+// the processor time of an entry, however small it is.
+TEST(report_schedule_test, EntriesBoundAllReportsTogether) {
+  for (const interval_case& item : {
+           interval_case{0, 0.12, milliseconds(0)},
+           interval_case{11, 0.25, milliseconds(44)},
+           interval_case{53, 0.12, milliseconds(442)},
+           interval_case{66, 0.09, milliseconds(734)},
+           interval_case{188, 1, milliseconds(188)},
+       }) {
+    EXPECT_EQ(StatusReportInterval(item.sessions, item.cores), item.interval);
+  }
+}
+
 // Guards against agents that dial a returning entry without pause or all at
 // once.
 RC_GTEST_PROP(backoff_property, StaysInItsBounds, (std::uint64_t seed)) {
