Read RPC messages ahead and write them once a turn

Cause: Cap'n Proto reads each message in two parts and writes each by itself. A start takes six messages, so the entry makes about 15 system calls for it; the kernel has 29 % of the samples of a profile of an entry at 357 starts/s.

Change: both ends of a session put a batched_stream under the RPC, which reads 4 KB ahead and writes what was stored at the end of a turn of the event loop.

--- a/src/jayrill/agent/internal/entry_connection.h
+++ b/src/jayrill/agent/internal/entry_connection.h
@@ -5,6 +5,7 @@
 #include <capnp/rpc-twoparty.h>
 #include <kj/async-io.h>
 
+#include "jayrill/rpc/batched_stream.h"
 #include "jayrill/rpc/dispatch.capnp.h"
 #include "jayrill/rpc/reader_limits.h"
 
@@ -15,7 +16,7 @@
 struct entry_connection {
   entry_connection(kj::Own<kj::AsyncIoStream> opened,
                    kj::TaskSet::ErrorHandler& errors)
-      : stream(kj::mv(opened)),
+      : stream(kj::heap<batched_stream>(kj::mv(opened))),
         network(*stream, capnp::rpc::twoparty::Side::CLIENT, ReaderLimits()),
         rpc(capnp::makeRpcClient(network)),
         entry(Bootstrap()),
--- a/src/jayrill/entry/agent_connection.cc
+++ b/src/jayrill/entry/agent_connection.cc
@@ -7,6 +7,7 @@
 
 #include "jayrill/entry/agent_server.h"
 #include "jayrill/entry/entry_port_server.h"
+#include "jayrill/rpc/batched_stream.h"
 #include "jayrill/rpc/codec.h"
 #include "jayrill/rpc/reader_limits.h"
 
@@ -51,7 +52,7 @@
 agent_connection::agent_connection(agent_server& server,
                                    kj::Own<kj::AsyncIoStream> stream)
     : server_(server),
-      stream_(kj::mv(stream)),
+      stream_(kj::heap<batched_stream>(kj::mv(stream))),
       network_(*stream_, capnp::rpc::twoparty::Side::SERVER, ReaderLimits()),
       rpc_(capnp::makeRpcServer(network_, kj::heap<entry_port_server>(*this))),
       calls_(*this) {
--- a/src/jayrill/rpc/module.cmake
+++ b/src/jayrill/rpc/module.cmake
@@ -5,5 +5,5 @@
 target_link_libraries(jayrill_wire PUBLIC CapnProto::capnp-rpc)
 
 jayrill_module(rpc
-  SOURCES codec.cc
+  SOURCES batched_stream.cc codec.cc
   DEPENDS jayrill_wire jayrill_job)
