Keep minions in use that refuse a start for an older configuration

Cause: when the configuration changes, agents get it from the entry that is first and refuse the starts of the others. Each refusal kept its minion from work for 1 s and took a retry from the budget, although the refusal itself brings the newer configuration.

Change: such a refusal neither keeps the minion from work nor takes a retry; IsUsable compares the revisions, which is enough.

Test: stale_config_test, failed before.

--- a/src/jayrill/entry/agent_session.cc
+++ b/src/jayrill/entry/agent_session.cc
@@ -212,7 +212,6 @@
     case not_run_reason::kConnectionRefused:
     case not_run_reason::kWrongService:
     case not_run_reason::kRefused:
-    case not_run_reason::kStaleConfig:
       avoid_until_ = now + kAvoidTime;
       break;
     case not_run_reason::kQueueFull:
@@ -221,6 +220,7 @@
     case not_run_reason::kNone:
     case not_run_reason::kExpired:
     case not_run_reason::kCancelled:
+    case not_run_reason::kStaleConfig:  // IsUsable compares the revisions.
       break;
   }
 }
--- a/src/jayrill/entry/dispatcher_results.cc
+++ b/src/jayrill/entry/dispatcher_results.cc
@@ -91,7 +91,10 @@
   const task_record& task = job.tasks[index];
   const std::uint32_t most =
       job.spec.repeatable ? kMaxStartsOfRepeatable : kMaxStartsPerTask;
-  if (task.starts >= most || !retries_.TryTake()) {
+  // The entry has the newer configuration with this result, so the next start
+  // is not refused for the same reason.
+  const bool is_free = result.reason == not_run_reason::kStaleConfig;
+  if (task.starts >= most || (!is_free && !retries_.TryTake())) {
     const std::string reason = result.message.empty()
                                    ? std::string(ToString(result.reason))
                                    : result.message;
--- a/tests/unit/minion_health_test.cc
+++ b/tests/unit/minion_health_test.cc
@@ -164,6 +164,27 @@
   EXPECT_TRUE(session.IsUsable(config_revision{}, time.Now()));
 }
 
+// Guards against a change of the configuration that leaves the entry without
+// minions for a second, because agents have got it from other entries first.
+TEST(stale_config_test, TheMinionGetsWorkOnceTheEntryHasTheNewer) {
+  manual_clock time;
+  agent_session session(agent_handle{1}, "a1");
+  ASSERT_TRUE(
+      session.Connect(Hello(1, {}), connection_id{1}, time.Now(), false));
+  const start_number number =
+      session.Send({{incarnation{9}, 1}, 0}, time.Now(), kStep);
+  session.Take(number);
+  task_result refused;
+  refused.outcome = task_outcome::kNotRun;
+  refused.reason = not_run_reason::kStaleConfig;
+  session.OnOutcome(refused, time.Now());
+  minion_status status = Hello(1, {}).status;
+  status.revision = config_revision{7};
+  session.SetStatus(status, time.Now());
+  EXPECT_FALSE(session.IsUsable(config_revision{6}, time.Now()));
+  EXPECT_TRUE(session.IsUsable(config_revision{7}, time.Now()));
+}
+
 // Guards against a session that counts as lost with its first start, because
 // the agent had no reason to report before.
 TEST(session_silence_test, BeginsWithTheFirstStart) {
