Log the loss and the return of a watch once each

While the store is away, each entry logs a line for each watch five times a second, and none when it is back. The lines that matter are hard to find among them.

Change: watch_log writes one line when a watch is interrupted and one when it works again. The watch of the entries uses the progress that the store reports.

Conclusion: the volume no longer depends on the length of an outage.

--- a/src/jayrill/config/translated_config.cc
+++ b/src/jayrill/config/translated_config.cc
@@ -25,8 +25,8 @@
   watcher.on_event = [this](const store_event& event) { OnEvent(event); };
   watcher.on_confirmed = [] {};
   watcher.on_progress = [this](store_revision as_of) { OnProgress(as_of); };
-  watcher.on_interrupted = [](const error& failure) {
-    LOG(WARNING) << "config: watch interrupted: " << ToString(failure);
+  watcher.on_interrupted = [this](const error& failure) {
+    log_.OnInterrupted(failure);
   };
   watch_ = backing.Watch(translator_.Prefix(), std::move(watcher));
 }
@@ -42,6 +42,7 @@
 }
 
 void translated_config::OnProgress(store_revision as_of) {
+  log_.OnWorking();
   if (std::exchange(changed_, false)) {
     result<cluster_config> translated = translator_.Translate(items_);
     if (!translated) {
--- a/src/jayrill/config/translated_config.h
+++ b/src/jayrill/config/translated_config.h
@@ -8,6 +8,7 @@
 #include "jayrill/base/error.h"
 #include "jayrill/config/config_keeper.h"
 #include "jayrill/store/store.h"
+#include "jayrill/store/watch_log.h"
 
 namespace jayrill {
 
@@ -55,6 +56,7 @@
   store_revision newest_;  ///< Of the items and their deletions.
   bool changed_ = true;    ///< Since the last translation.
   shared stored_;          ///< The last translation; null: none is valid.
+  watch_log log_{"config", "configuration"};
   std::unique_ptr<store::watch_handle> watch_;
 };
 
--- a/src/jayrill/membership/membership.cc
+++ b/src/jayrill/membership/membership.cc
@@ -25,14 +25,12 @@
       own_(std::move(own)),
       own_key_(kEntriesPrefix + own_.id),
       on_change_(std::move(on_change)) {
-  watch_ = store_.Watch(kEntriesPrefix,
-                        {[this](const store_event& event) { OnEvent(event); },
-                         {},
-                         [](const error& failure) {
-                           LOG(WARNING)
-                               << "store: watch of the entries interrupted: "
-                               << ToString(failure);
-                         }});
+  watch_ = store_.Watch(
+      kEntriesPrefix,
+      {[this](const store_event& event) { OnEvent(event); },
+       {},
+       [this](const error& failure) { log_.OnInterrupted(failure); },
+       [this](store_revision) { log_.OnWorking(); }});
   Tick();
 }
 
@@ -157,6 +155,7 @@
 }
 
 void membership::OnEvent(const store_event& event) {
+  log_.OnWorking();
   if (!event.value) {
     RemoveLater(event.key);
     return;
--- a/src/jayrill/membership/membership.h
+++ b/src/jayrill/membership/membership.h
@@ -14,6 +14,7 @@
 #include "jayrill/membership/entry_record.h"
 #include "jayrill/store/scheduler.h"
 #include "jayrill/store/store.h"
+#include "jayrill/store/watch_log.h"
 
 namespace jayrill {
 
@@ -95,6 +96,7 @@
   bool revision_known_ = true;
   std::map<std::string, known_entry> entries_;
   std::uint64_t next_version_ = 0;
+  watch_log log_{"store", "entries"};
   std::unique_ptr<store::watch_handle> watch_;
   callback_guard guard_;
 };
--- a/src/jayrill/store.h
+++ b/src/jayrill/store.h
@@ -11,5 +11,6 @@
 #include "jayrill/store/qt_scheduler.h"
 #include "jayrill/store/scheduler.h"
 #include "jayrill/store/store.h"
+#include "jayrill/store/watch_log.h"
 
 #endif  // JAYRILL_STORE_H_
--- /dev/null
+++ b/tests/unit/watch_log_test.cc
@@ -0,0 +1,51 @@
+#include "jayrill/store/watch_log.h"
+
+#include <glog/logging.h>
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+namespace jayrill {
+namespace {
+
+class recording_sink : public google::LogSink {
+ public:
+  recording_sink() { google::AddLogSink(this); }
+  ~recording_sink() override { google::RemoveLogSink(this); }
+
+  void send(google::LogSeverity /*severity*/,
+            const char* /*full_filename*/,
+            const char* /*base_filename*/,
+            int /*line*/,
+            const google::LogMessageTime& /*time*/,
+            const char* message,
+            std::size_t size) override {
+    lines.emplace_back(message, size);
+  }
+
+  std::vector<std::string> lines;
+};
+
+// Guards against a log that a store which is away fills, and against a return
+// of the store that nobody can see.
+TEST(watch_log_test, WritesOneLineForTheLossAndOneForTheReturn) {
+  recording_sink seen;
+  watch_log log("config", "configuration");
+  const error failure{error_kind::kUnavailable, "status 503", "none"};
+  log.OnWorking();
+  for (int outage = 0; outage < 2; ++outage) {
+    for (int i = 0; i < 50; ++i) {
+      log.OnInterrupted(failure);
+    }
+    log.OnWorking();
+    log.OnWorking();
+  }
+  ASSERT_EQ(seen.lines.size(), 4U);
+  EXPECT_NE(seen.lines[0].find("status 503"), std::string::npos);
+  EXPECT_EQ(seen.lines[1],
+            "config: the watch of the configuration works again");
+}
+
+}  // namespace
+}  // namespace jayrill
