Dial silent entries again after 300 ms and settle once agents are quiet

After a loss of power all agents were up at 37.50 s and all entries at 37.80 s, but the agents were connected only at 38.52 s: each had dialled an entry that had no power yet, and the kernel repeats the first packet only after one second. Besides, an entry sends nothing in its first second, however long its agents have been there. Meanwhile its callers wait until their jobs expire.

Ruled out: the backoff (its first steps are 50 to 100 ms) and the store (the configuration is there 15 ms after the start).

Change: a TCP connection may take 300 ms, beside the 3 s for the whole handshake. An entry has settled when no further agent has joined for 200 ms, or after a second as before.

Tests: entry_link_test (1 dial in a second before, now 3 or more) and settle_test; both failed before.

--- a/src/jayrill/agent/entry_link.cc
+++ b/src/jayrill/agent/entry_link.cc
@@ -17,6 +17,10 @@
 // dialled again.
 constexpr auto kDialLimit = 3 * kj::SECONDS;
 
+// Bound on the TCP connection alone. An instance without power answers nothing,
+// and the kernel repeats the first packet only after one second, then two.
+constexpr auto kConnectLimit = 300 * kj::MILLISECONDS;
+
 // Interval at which a second address of a connected entry is tried.
 constexpr auto kAliasDelay = 5 * kj::SECONDS;
 
@@ -79,13 +83,14 @@
 
 kj::Promise<void> entry_link::Attempt() {
   auto& timer = shared_.io.getTimer();
+  auto connect = shared_.io.getNetwork()
+                     .parseAddress(kj::StringPtr(address_.c_str()))
+                     .then([](kj::Own<kj::NetworkAddress>&& address) {
+                       auto connected = address->connect();
+                       return connected.attach(kj::mv(address));
+                     });
   auto dial =
-      shared_.io.getNetwork()
-          .parseAddress(kj::StringPtr(address_.c_str()))
-          .then([](kj::Own<kj::NetworkAddress>&& address) {
-            auto connected = address->connect();
-            return connected.attach(kj::mv(address));
-          })
+      timer.timeoutAfter(kConnectLimit, kj::mv(connect))
           .then([this](kj::Own<kj::AsyncIoStream>&& stream) {
             ++serial_;
             connection_ = kj::heap<agent::internal::entry_connection>(
--- a/src/jayrill/entry/dispatcher.cc
+++ b/src/jayrill/entry/dispatcher.cc
@@ -102,6 +102,7 @@
   if (config_) {
     session.ApplyConfig(*config_, now);
   }
+  last_joined_ = now;
   session.SetSlowness(speeds_.Slowness(session.handle().value), now);
   trust_.OnAgentContact(hello.data_centre, now);
   agents_.UpdatePool(session);
--- a/src/jayrill/entry/dispatcher.h
+++ b/src/jayrill/entry/dispatcher.h
@@ -27,9 +27,13 @@
 
 namespace jayrill {
 
-/// Time after its start for which an entry waits for its agents.
+/// Longest time after its start for which an entry waits for its agents.
 inline constexpr std::chrono::milliseconds kAgentSettle{1000};
 
+/// The wait ends when no further agent has joined for this long: the first ones
+/// would otherwise get all the work.
+inline constexpr std::chrono::milliseconds kAgentQuiet{200};
+
 /// Time for which the tasks of a service wait for a minion to appear.
 inline constexpr std::chrono::milliseconds kNoMinionGrace{2000};
 
@@ -173,6 +177,7 @@
   dispatch_output& output_;
   const dispatch_limits limits_;
   steady_time started_;
+  std::optional<steady_time> last_joined_;  ///< When an agent has connected.
   agent_table agents_;
   job_table jobs_;
   task_placer placer_;
--- a/src/jayrill/entry/dispatcher_sending.cc
+++ b/src/jayrill/entry/dispatcher_sending.cc
@@ -96,7 +96,9 @@
 }
 
 bool dispatcher::IsSettled() const {
-  return time_.Now() - started_ >= kAgentSettle;
+  const steady_time now = time_.Now();
+  return now - started_ >= kAgentSettle ||
+         (last_joined_ && now - *last_joined_ >= kAgentQuiet);
 }
 
 bool dispatcher::IsIsolated() const {
--- a/tests/entry/refusal_test.cc
+++ b/tests/entry/refusal_test.cc
@@ -204,5 +204,24 @@
   EXPECT_EQ(cluster.cancelled, 2U);
 }
 
+// Guards against an entry that starts anew and lets its callers wait for a
+// second although its agents are back.
+TEST(settle_test, StartsOnceNoFurtherAgentJoins) {
+  fake_cluster cluster;
+  cluster.ChangeConfig({});
+  const job_id job = cluster.Submit(fake_cluster::Job(2, seconds(60)));
+  cluster.Advance(milliseconds(100));
+  cluster.AddAgent("dc1").Connect(cluster.entry);
+  cluster.Advance(milliseconds(150));
+  fake_agent& last = cluster.AddAgent("dc1");
+  last.Connect(cluster.entry);
+  cluster.AcknowledgePushes();
+  cluster.Advance(kAgentQuiet - milliseconds(50));
+  EXPECT_TRUE(cluster.sent.empty());
+  cluster.Advance(milliseconds(50) + kDispatchTick);
+  EXPECT_FALSE(cluster.sent.empty());
+  EXPECT_EQ(cluster.CodeOf(job), "");
+}
+
 }  // namespace
 }  // namespace jayrill
--- /dev/null
+++ b/tests/unit/entry_link_test.cc
@@ -0,0 +1,101 @@
+#include "jayrill/agent/entry_link.h"
+
+#include <gtest/gtest.h>
+#include <kj/async-io.h>
+#include <kj/debug.h>
+#include <kj/timer.h>
+
+#include "agent_core_rig.h"
+#include "jayrill/base/random_source.h"
+
+namespace jayrill {
+namespace {
+
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wnon-virtual-dtor"
+
+/// The address of an instance without power: nothing answers.
+class silent_address final : public kj::NetworkAddress {
+ public:
+  explicit silent_address(int& dials) : dials_(dials) {}
+
+  kj::Promise<kj::Own<kj::AsyncIoStream>> connect() override {
+    ++dials_;
+    return kj::NEVER_DONE;
+  }
+  kj::Own<kj::ConnectionReceiver> listen() override {
+    KJ_UNIMPLEMENTED("not needed");
+  }
+  kj::Own<kj::NetworkAddress> clone() override {
+    return kj::heap<silent_address>(dials_);
+  }
+  kj::String toString() override { return kj::str("silent"); }
+
+ private:
+  int& dials_;
+};
+
+class silent_network final : public kj::Network {
+ public:
+  kj::Promise<kj::Own<kj::NetworkAddress>> parseAddress(
+      kj::StringPtr /*address*/,
+      kj::uint /*port*/) override {
+    return kj::Own<kj::NetworkAddress>(kj::heap<silent_address>(dials));
+  }
+  kj::Own<kj::NetworkAddress> getSockaddr(const void* /*address*/,
+                                          kj::uint /*size*/) override {
+    KJ_UNIMPLEMENTED("not needed");
+  }
+  kj::Own<kj::Network> restrictPeers(
+      kj::ArrayPtr<const kj::StringPtr> /*allow*/,
+      kj::ArrayPtr<const kj::StringPtr> /*deny*/) override {
+    KJ_UNIMPLEMENTED("not needed");
+  }
+
+  int dials = 0;
+};
+
+/// Gives a silent network and a timer that the test moves.
+class silent_provider final : public kj::AsyncIoProvider {
+ public:
+  kj::OneWayPipe newOneWayPipe() override { return kj::newOneWayPipe(); }
+  kj::TwoWayPipe newTwoWayPipe() override { return kj::newTwoWayPipe(); }
+  kj::Network& getNetwork() override { return network; }
+  PipeThread newPipeThread(
+      kj::Function<void(kj::AsyncIoProvider&,
+                        kj::AsyncIoStream&,
+                        kj::WaitScope&)> /*start*/) override {
+    KJ_UNIMPLEMENTED("not needed");
+  }
+  kj::Timer& getTimer() override { return timer; }
+
+  silent_network network;
+  kj::TimerImpl timer{kj::origin<kj::TimePoint>()};
+};
+
+#pragma GCC diagnostic pop
+
+// Guards against an agent that waits for the kernel to repeat the first packet
+// to an entry that had no power when the agent started. That takes 1 s and then
+// 2 s more, during which the entry is back without its agents.
+TEST(entry_link_test, DialsAgainWhileNothingAnswers) {
+  kj::EventLoop loop;
+  kj::WaitScope scope(loop);
+  silent_provider io;
+  core_rig rig;
+  const agent_settings settings = Settings();
+  random_source random(1);
+  entry_link::context shared{settings, rig.time, incarnation{2}, io,
+                             random,   rig.core, [] {}};
+  entry_link link("10.0.0.1:1", shared);
+  link.Start();
+  kj::Promise<void> never = kj::NEVER_DONE;
+  for (int step = 0; step < 50; ++step) {
+    never.poll(scope);  // Runs everything that is due.
+    io.timer.advanceTo(io.timer.now() + 20 * kj::MILLISECONDS);
+  }
+  EXPECT_GE(io.network.dials, 3);
+}
+
+}  // namespace
+}  // namespace jayrill
