Read large messages without a continuation where nothing was read ahead

Cause: the linter takes the offset in the continuation for a null pointer that kj follows (its check of member pointers); the offset is 0 in the usual case.

Change: the continuation is left out in that case.

Figures: clang-tidy is clean on the changed files; batched_stream_test passes.

Conclusion: no change of behaviour.

--- a/src/jayrill/rpc/batched_stream.cc
+++ b/src/jayrill/rpc/batched_stream.cc
@@ -41,8 +41,11 @@
   auto* const rest = static_cast<kj::byte*>(buffer) + taken;
   const std::size_t room = max_bytes - taken;
   if (room >= ahead_.size()) {
-    return inner_->tryRead(rest, min_bytes - taken, room)
-        .then([taken](std::size_t count) { return taken + count; });
+    auto count = inner_->tryRead(rest, min_bytes - taken, room);
+    if (taken == 0) {
+      return count;
+    }
+    return count.then([taken](std::size_t more) { return taken + more; });
   }
   return inner_->tryRead(ahead_.begin(), min_bytes - taken, ahead_.size())
       .then([this, rest, room, taken](std::size_t count) {
