Write the log of entries and agents to standard output

Cause: the users ask for structured logs on standard output; glog wrote to standard error.

Change: both roles log to standard output, line by line, so that a process that is killed loses nothing. Other commands, whose results go to standard output, log to standard error as before.

Test: scenario.stdout_log, failed before (no line in 30 s).

--- a/src/jayrill/cli/main.cc
+++ b/src/jayrill/cli/main.cc
@@ -1,6 +1,7 @@
 #include <glog/logging.h>
 
 #include <csignal>
+#include <cstdio>
 #include <iostream>
 #include <string>
 #include <vector>
@@ -17,6 +18,16 @@
   google::InitGoogleLogging(program);
 }
 
+/// Entries and agents write their log to standard output, where the platform
+/// collects it. Standard output carries the results of all other commands.
+void LogToStandardOutput() {
+  FLAGS_logtostderr = false;
+  FLAGS_logtostdout = true;
+  // A pipe is else written in blocks, and a process that is killed would lose
+  // its last lines.
+  std::setvbuf(stdout, nullptr, _IOLBF, 0);
+}
+
 int PrintFaults(const std::vector<setting_fault>& faults) {
   for (const setting_fault& fault : faults) {
     std::cerr << "jayrill: " << ToString(fault) << "\n";
@@ -76,6 +87,9 @@
     return parsed.faults.empty() ? RunSettings(parsed)
                                  : PrintFaults(parsed.faults);
   }
+  if ((item.set & (kEntry | kAgent)) != kNoCommand) {
+    LogToStandardOutput();
+  }
   resolved_settings resolved =
       ResolveSettings(item.set, parsed.flags, ReadEnvironment());
   LogWarnings(resolved);
