--- a/tests/platform/kv_store_test.cc
+++ b/tests/platform/kv_store_test.cc
@@ -115,6 +115,41 @@
   EXPECT_TRUE(WaitFor([&] { return seen.progress == standin_->revision(); }));
 }
 
+// Guards against an answer that cannot be read and so looks like an empty store:
+// a withdrawn key would be in use again, and a record that exists would be taken
+// as absent.
+TEST_F(kv_store_test, AnUnreadableAnswerIsNoAbsence) {
+  ASSERT_TRUE(Swap("op/a", 0, "1"));
+  watch_recorder seen;
+  int confirmed = 0;
+  store::watch_listener listener = seen.Listener();
+  listener.on_confirmed = [&confirmed] { ++confirmed; };
+  const auto watch = store_->Watch("op/", std::move(listener));
+  ASSERT_TRUE(WaitFor([&] { return confirmed > 0; }));
+  standin_->SetUnreadable(true);
+  std::optional<result<std::optional<store_entry>>> read;
+  store_->Get("op/a", [&](result<std::optional<store_entry>> found) {
+    read = std::move(found);
+  });
+  ASSERT_TRUE(WaitFor([&] { return read.has_value(); }));
+  EXPECT_FALSE(read->has_value());
+  const int confirmed_before = confirmed;
+  const int interruptions_before = seen.interruptions;
+  ASSERT_TRUE(
+      WaitFor([&] { return seen.interruptions > interruptions_before + 1; }));
+  EXPECT_LE(confirmed, confirmed_before + 1);
+  EXPECT_EQ(seen.values.count("op/a"), 1U);
+  std::optional<result<std::vector<store_entry>>> listed;
+  store_->List("op/", [&](result<std::vector<store_entry>> found) {
+    listed = std::move(found);
+  });
+  ASSERT_TRUE(WaitFor([&] { return listed.has_value(); }));
+  EXPECT_FALSE(listed->has_value());
+  standin_->SetUnreadable(false);
+  standin_->Put("op/b", "2");
+  EXPECT_TRUE(WaitFor([&] { return seen.values.contains("op/b"); }));
+}
+
 /// Takes the value of `op/config` for the name of the only data centre that is
 /// out of service. The value `bad` is invalid.
 class single_data_centre_translator final : public config_translator {
--- a/tests/platform/platform_store_standin.h
+++ b/tests/platform/platform_store_standin.h
@@ -24,6 +24,9 @@
     server_.route(
         QStringLiteral("/v1/kv-range"), method::Get,
         [this](const QHttpServerRequest& request) { return Range(request); });
+    server_.route(
+        QStringLiteral("/v1/kv-key"), method::Get,
+        [this](const QHttpServerRequest& request) { return Key(request); });
     server_.route(
         QStringLiteral("/v1/kv-watch"), method::Get,
         [this](const QHttpServerRequest& request) { return Watch(request); });
@@ -40,6 +43,9 @@
 
   /// While down, every request is answered with status 503.
   void SetDown(bool down) { down_ = down; }
+  /// While set, reads are answered with status 200 and a body that is not
+  /// JSON.
+  void SetUnreadable(bool unreadable) { unreadable_ = unreadable; }
   /// The next transaction takes effect but is not answered.
   void LoseNextAnswer() { lose_answer_ = true; }
   /// A watch from an older revision is answered with status 410 from now on.
@@ -75,10 +81,29 @@
             {QStringLiteral("revision"), static_cast<qint64>(found.revision)}};
   }
 
+  static response Unreadable() {
+    return response(QByteArrayLiteral("text/plain"), QByteArrayLiteral("{\"it"));
+  }
+
+  response Key(const QHttpServerRequest& request) {
+    const std::string key =
+        request.query().queryItemValue(QStringLiteral("key")).toStdString();
+    if (down_) {
+      return Status(503);
+    }
+    if (unreadable_) {
+      return Unreadable();
+    }
+    return items_.contains(key) ? response(ToJson(key)) : Status(404);
+  }
+
   response Range(const QHttpServerRequest& request) {
     if (down_) {
       return Status(503);
     }
+    if (unreadable_) {
+      return Unreadable();
+    }
     const std::string prefix =
         request.query().queryItemValue(QStringLiteral("prefix")).toStdString();
     QJsonArray items;
@@ -97,6 +122,9 @@
     if (down_) {
       return Status(503);
     }
+    if (unreadable_) {
+      return Unreadable();
+    }
     const std::string prefix =
         request.query().queryItemValue(QStringLiteral("prefix")).toStdString();
     const auto after =
@@ -176,6 +204,7 @@
   std::vector<QHttpServerResponder> unanswered_;
   quint16 port_ = 0;
   bool down_ = false;
+  bool unreadable_ = false;
   bool lose_answer_ = false;
   std::uint64_t revision_ = 1;
   std::uint64_t history_begin_ = 0;
