--- a/src/jayrill/agent/agent_core.cc
+++ b/src/jayrill/agent/agent_core.cc
@@ -25,20 +25,17 @@
       time_(time),
       host_(callbacks),
       pause_(time),
-      queue_(settings_.queue_limit) {}
+      queue_(settings_.queue_limit),
+      departure_(settings_.announce_ttl) {}
 
 void agent_core::Announce(const announcement& minion) {
-  // An announcement that was in flight when the minion left must not make it
-  // available again. It is ignored for announce_ttl. A minion with another
-  // instance or life is a new one and accepted at once; a minion without an
-  // instance name cannot be told from its predecessor and has to wait.
-  const bool is_same_minion = minion_ && minion_->instance == minion.instance &&
-                              minion_->life == minion.life;
-  if (minion_left_at_ && (is_same_minion || minion.instance.empty()) &&
-      time_.Now() - *minion_left_at_ <= settings_.announce_ttl) {
+  const bool has_returned = departure_.has_left();
+  if (!departure_.Accept(minion, time_.Now())) {
     return;
   }
-  if (minion_left_at_ || !IsAnnounced() || !is_same_minion ||
+  const bool is_same_minion = minion_ && minion_->instance == minion.instance &&
+                              minion_->life == minion.life;
+  if (has_returned || !IsAnnounced() || !is_same_minion ||
       minion_->draining != minion.draining) {
     LOG(INFO) << "agent: minion announced service=" << minion.service
               << " port=" << minion.port << " slots=" << minion.slots
@@ -46,7 +43,6 @@
               << " cpu_millis=" << minion.room.cpu_millis
               << " draining=" << minion.draining;
   }
-  minion_left_at_.reset();
   minion_ = minion;
   if (minion_->draining) {
     RefuseWaiting([](const queued_start&) { return true; },
@@ -60,7 +56,7 @@
 void agent_core::Leave() {
   LOG(INFO) << "agent: the minion leaves running=" << running_.size()
             << " queued=" << queue_.waiting();
-  minion_left_at_ = time_.Now();
+  departure_.OnLeave(time_.Now());
   RefuseWaiting([](const queued_start&) { return true; },
                 {not_run_reason::kDraining, "the minion is leaving"});
   host_.StatusChanged();
@@ -117,6 +113,30 @@
   return found != sessions_.end() && found->second.connected();
 }
 
+void agent_core::SetRetiring(incarnation entry, bool retiring) {
+  sessions_[entry].SetRetiring(retiring);
+  if (retiring) {
+    RefuseWaiting(
+        [entry](const queued_start& start) { return start.entry == entry; },
+        {not_run_reason::kDraining, "the agent leaves this entry"});
+  }
+}
+
+bool agent_core::IsRetiring(incarnation entry) const {
+  const auto found = sessions_.find(entry);
+  return found != sessions_.end() && found->second.retiring();
+}
+
+bool agent_core::IsIdle(incarnation entry) const {
+  const auto found = sessions_.find(entry);
+  return !queue_.HasStartOf(entry) &&
+         std::none_of(running_.begin(), running_.end(),
+                      [entry](const auto& item) {
+                        return item.second.entry == entry;
+                      }) &&
+         (found == sessions_.end() || found->second.unacknowledged() == 0);
+}
+
 void agent_core::AdmitBatch(incarnation entry, const start_batch& batch) {
   if (CheckPause()) {
     // These starts are neither accepted nor reported: the reconnect fences
@@ -126,6 +146,9 @@
   entry_session& session = sessions_[entry];
   const steady_time now = time_.Now();
   for (const start_request& order : batch.starts) {
+    if (order.max_wait.count() > 0) {
+      DispatchWaiting();  // ExpectedWait needs to know what runs.
+    }
     const auto decision = session.Admit(batch.epoch, order.number);
     if (decision != start_gate::decision::kAdmitted) {
       ++(decision == start_gate::decision::kDuplicate ? counters_.duplicates
@@ -139,6 +162,13 @@
              {});
     } else if (const auto why = FindRefusal(order, now + order.remaining)) {
       Refuse(entry, order.number, *why, {});
+    } else if (session.retiring()) {
+      Refuse(entry, order.number,
+             {not_run_reason::kDraining, "the agent leaves this entry"}, {});
+    } else if (order.max_wait.count() > 0 &&
+               ExpectedWait(order.needs) > order.max_wait) {
+      Refuse(entry, order.number, {not_run_reason::kBusy, "the minion is busy"},
+             {});
     } else if (queue_.IsFull()) {
       Refuse(entry, order.number,
              {not_run_reason::kQueueFull, "the agent's queue is full"}, {});
@@ -165,7 +195,7 @@
   if (stopping_) {
     return refusal{not_run_reason::kDraining, "the agent is stopping"};
   }
-  if (minion_left_at_ || (minion_ && minion_->draining)) {
+  if (departure_.has_left() || (minion_ && minion_->draining)) {
     return refusal{not_run_reason::kDraining, "the minion is leaving"};
   }
   if (!IsAnnounced()) {
@@ -221,6 +251,7 @@
                     start.order.number,
                     start.arrived,
                     now,
+                    now + start.order.expected_run,
                     {},
                     start.order.needs,
                     false};
@@ -454,10 +485,38 @@
   return minion_ ? minion_->room : resource_amount{};
 }
 
+std::chrono::milliseconds agent_core::ExpectedWait(
+    const resource_amount& needs) const {
+  if (queue_.waiting() == 0 && queue_.busy() < slots() &&
+      IsWithin(queue_.running_use() + needs, room())) {
+    return {};
+  }
+  // Each start that waits already takes the place of one run that ends.
+  std::vector<steady_time> ends;
+  ends.reserve(running_.size());
+  for (const auto& [call, run] : running_) {
+    ends.push_back(run.expected_end);
+  }
+  if (queue_.waiting() >= ends.size()) {
+    return std::chrono::milliseconds::max();
+  }
+  const auto next =
+      ends.begin() + static_cast<std::ptrdiff_t>(queue_.waiting());
+  std::nth_element(ends.begin(), next, ends.end());
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::max(*next - time_.Now(), steady_duration::zero()));
+}
+
+minion_status agent_core::StatusFor(incarnation entry) const {
+  minion_status status = Status();
+  status.draining |= IsRetiring(entry);
+  return status;
+}
+
 minion_status agent_core::Status() const {
   minion_status status;
-  status.draining = stopping_ || minion_left_at_.has_value() ||
-                    (minion_ && minion_->draining);
+  status.draining =
+      stopping_ || departure_.has_left() || (minion_ && minion_->draining);
   status.busy = queue_.busy();
   status.queued = static_cast<std::uint32_t>(queue_.waiting());
   status.revision = config_.revision;
--- a/src/jayrill/agent/agent_core.h
+++ b/src/jayrill/agent/agent_core.h
@@ -14,6 +14,7 @@
 #include "jayrill/agent/announcement.h"
 #include "jayrill/agent/config_copy.h"
 #include "jayrill/agent/entry_session.h"
+#include "jayrill/agent/minion_departure.h"
 #include "jayrill/agent/run_queue.h"
 #include "jayrill/agent/task_call.h"
 #include "jayrill/base/clock.h"
@@ -87,6 +88,14 @@
   /// connection has replaced it.
   void Disconnect(incarnation entry, connection_epoch epoch);
 
+  /// Refuses further starts of \p entry, because the agent is about to close
+  /// its session, or accepts them again.
+  void SetRetiring(incarnation entry, bool retiring);
+
+  /// \returns true when no start of \p entry waits or runs and all its results
+  /// were acknowledged.
+  bool IsIdle(incarnation entry) const;
+
   /// Admits or refuses each start of \p batch. Drops the whole batch after a
   /// pause of the process.
   void AdmitBatch(incarnation entry, const start_batch& batch);
@@ -118,6 +127,9 @@
   bool IsDrained() const;
 
   minion_status Status() const;
+  /// \returns the status as \p entry should see it: a retiring session is shown
+  /// as draining, so that the entry sends no further starts.
+  minion_status StatusFor(incarnation entry) const;
   entry_session& Session(incarnation entry) { return sessions_[entry]; }
   bool IsConnected(incarnation entry) const;
 
@@ -137,6 +149,7 @@
     start_number number;
     steady_time arrived;
     steady_time released;
+    steady_time expected_end;
     std::chrono::microseconds run_time{};
     resource_amount needs;
     bool stopped = false;  ///< Was stopped because its entry was silent.
@@ -147,6 +160,11 @@
   };
 
   bool IsAnnounced() const;
+  bool IsRetiring(incarnation entry) const;
+
+  /// \returns how long a start with \p needs that arrives now is expected to
+  /// wait for a slot and for its resources.
+  std::chrono::milliseconds ExpectedWait(const resource_amount& needs) const;
   std::uint32_t slots() const;
   resource_amount room() const;
 
@@ -183,7 +201,7 @@
   std::uint64_t last_call_ = 0;
   std::optional<announcement> minion_;
   steady_time announced_at_;
-  std::optional<steady_time> minion_left_at_;
+  minion_departure departure_;
   bool stopping_ = false;
   config_copy config_;
   bool data_centre_out_ = false;
--- a/src/jayrill/agent/agent_counters.h
+++ b/src/jayrill/agent/agent_counters.h
@@ -12,7 +12,7 @@
 
 /// Number of enumerators of not_run_reason.
 inline constexpr std::size_t kNotRunReasons =
-    static_cast<std::size_t>(not_run_reason::kRefused) + 1;
+    static_cast<std::size_t>(not_run_reason::kBusy) + 1;
 
 /// Event counts since the start of the agent, exported as metrics.
 struct agent_counters {
--- a/src/jayrill/agent/agent_process.cc
+++ b/src/jayrill/agent/agent_process.cc
@@ -14,6 +14,7 @@
                              const agent_overrides& overrides)
     : settings_(std::move(settings)),
       time_(time),
+      departure_(settings_.announce_ttl),
       metrics_text_([this] { return agent::internal::ToText(view()); }),
       minion_port_(overrides.minion
                        ? overrides.minion(MinionListener())
@@ -92,29 +93,23 @@
 }
 
 announce_api::listener agent_process::AnnounceListener() {
-  return {
-      [this](announcement minion) {
-        // An announcement that was in flight when the minion left must not
-        // admit calls again, so it counts only if it names an instance or comes
-        // after the TTL. Within the TTL, agent_core::Announce also ignores an
-        // announcement of the same life of the instance.
-        if (left_at_ && (!minion.instance.empty() ||
-                         time_.Now() - *left_at_ > settings_.announce_ttl)) {
-          left_at_.reset();
-          minion_port_->SetMinionLeft(false);
-        }
-        minion_port_->OnAnnounced(minion);
-        PostToLoop([minion = std::move(minion)](agent_loop& loop) {
-          loop.core().Announce(minion);
-        });
-      },
-      [this] {
-        left_at_ = time_.Now();
-        minion_port_->SetMinionLeft(true);
-        PostToLoop([](agent_loop& loop) { loop.core().Leave(); });
-        return minion_port_->running();
-      },
-      [this] { return metrics_text_(); }};
+  return {[this](announcement minion) {
+            if (!departure_.Accept(minion, time_.Now())) {
+              return;
+            }
+            minion_port_->SetMinionLeft(false);
+            minion_port_->OnAnnounced(minion);
+            PostToLoop([minion = std::move(minion)](agent_loop& loop) {
+              loop.core().Announce(minion);
+            });
+          },
+          [this] {
+            departure_.OnLeave(time_.Now());
+            minion_port_->SetMinionLeft(true);
+            PostToLoop([](agent_loop& loop) { loop.core().Leave(); });
+            return minion_port_->running();
+          },
+          [this] { return metrics_text_(); }};
 }
 
 agent_view agent_process::view() const {
--- a/src/jayrill/agent/agent_process.h
+++ b/src/jayrill/agent/agent_process.h
@@ -13,6 +13,7 @@
 #include "jayrill/agent/agent_settings.h"
 #include "jayrill/agent/announce_api.h"
 #include "jayrill/agent/minion_client.h"
+#include "jayrill/agent/minion_departure.h"
 #include "jayrill/agent/minion_port.h"
 #include "jayrill/base/clock.h"
 #include "jayrill/base/error.h"
@@ -98,11 +99,11 @@
 
   const agent_settings settings_;
   const clock& time_;
+  minion_departure departure_;
   std::function<void()> on_stopped_;
   std::function<std::string()> metrics_text_;
-  std::optional<steady_time> left_at_;  // When the minion has left.
-  work_queue inbox_;                    // Work for the kj thread.
-  agent_loop* loop_ = nullptr;          // Used on the kj thread only.
+  work_queue inbox_;            // Work for the kj thread.
+  agent_loop* loop_ = nullptr;  // Used on the kj thread only.
   mutable std::mutex view_mutex_;
   agent_view view_;
   std::unique_ptr<minion_port> minion_port_;
--- a/src/jayrill/agent/agent_settings.h
+++ b/src/jayrill/agent/agent_settings.h
@@ -20,9 +20,11 @@
   /// Address at which the agent calls its minion; the minion announces the
   /// port.
   std::string minion_host = "127.0.0.1";
-  /// RPC addresses (IP:port) of entries to which the agent always connects,
-  /// beside those that it learns from other entries.
+  /// RPC addresses (IP:port) of some entries, from which the agent learns the
+  /// others.
   std::vector<std::string> entries;
+  /// Most entries that the agent holds sessions with; see SelectEntries.
+  std::uint32_t entry_limit = 12;
   std::uint32_t slots_cap = 64;      ///< Most slots used of those announced.
   std::uint32_t queue_limit = 4096;  ///< Most starts that wait for a slot.
   /// How long a minion stays announced after its last announcement.
--- a/src/jayrill/agent/entry_link.cc
+++ b/src/jayrill/agent/entry_link.cc
@@ -32,9 +32,9 @@
 constexpr std::uint32_t kMaxReportsInFlight = 16;
 constexpr std::size_t kMaxReportBytes = 1U << 20U;
 
-// Limit on the entry addresses that are accepted from one entry, so that a
-// faulty list cannot make the agent dial any number of addresses.
-constexpr std::size_t kMaxListedEntries = 64;
+// Limit on the answers to start calls that wait for the next report. The entry
+// limits its calls in flight, so further ones are answered at once.
+constexpr std::size_t kMaxHeldAnswers = 8;
 
 kj::Duration ToKj(steady_duration duration) {
   return std::chrono::duration_cast<std::chrono::nanoseconds>(duration)
@@ -174,6 +174,9 @@
       std::chrono::milliseconds(welcome.getStatusMs()));
   context_.core.SetHeartbeat(schedule_.heartbeat());
   context_.core.OnMessageReceived(entry_);
+  // The entry also has the configuration of the hello if that one is newer.
+  entry_revision_ = std::max(
+      entry_revision_, config_revision{welcome.getConfig().getRevision()});
   context_.core.OfferConfig(DecodeConfig(welcome.getConfig()));
   context_.core.Welcome(entry_, welcome.getResumed());
   handshake_done_ = true;
@@ -186,15 +189,20 @@
 
 void entry_link::Close() {
   handshake_done_ = false;
+  retiring_ = false;
+  retirement_acknowledged_ = false;
   config_due_ = false;
   reports_in_flight_ = 0;
   early_batches_.clear();
+  held_answers_.clear();
+  held_responses_.clear();
   if (connection_.get() == nullptr) {
     return;
   }
   // Late calls of the entry carry the old serial number and are ignored.
   ++serial_;
   if (entry_.value != 0) {
+    context_.core.SetRetiring(entry_, false);
     context_.core.Disconnect(entry_, epoch_);
     entry_ = {};
   }
@@ -226,10 +234,10 @@
   return true;
 }
 
-void entry_link::OnStart(std::uint64_t serial,
-                         wire::StartBatch::Reader wire_batch) {
+kj::Promise<void> entry_link::OnStart(std::uint64_t serial,
+                                      wire::StartBatch::Reader wire_batch) {
   if (!OnMessage(serial)) {
-    return;
+    return kj::READY_NOW;
   }
   start_batch batch;
   batch.revision = config_revision{wire_batch.getRevision()};
@@ -242,6 +250,20 @@
   } else {
     early_batches_.push_back(std::move(batch));
   }
+  if (held_answers_.size() >= kMaxHeldAnswers) {
+    return kj::READY_NOW;
+  }
+  auto answer = kj::newPromiseAndFulfiller<void>();
+  held_answers_.add(kj::mv(answer.fulfiller));
+  return kj::mv(answer.promise);
+}
+
+void entry_link::ReleaseHeldMessages() {
+  for (auto& answer : held_answers_) {
+    answer->fulfill();
+  }
+  held_answers_.clear();
+  held_responses_.clear();
 }
 
 void entry_link::OnCancel(std::uint64_t serial,
@@ -267,25 +289,35 @@
 }
 
 void entry_link::OnHeartbeat(std::uint64_t serial,
-                             capnp::List<capnp::Text>::Reader entries) {
+                             capnp::List<wire::EntryEndpoint>::Reader entries) {
   if (OnMessage(serial)) {
     SetListedEntries(entries);
   }
 }
 
-void entry_link::SetListedEntries(capnp::List<capnp::Text>::Reader entries) {
-  std::vector<std::string> listed_entries;
-  for (const auto entry : entries) {
-    if (listed_entries.size() < kMaxListedEntries) {
-      listed_entries.push_back(ToString(entry));
-    }
-  }
-  if (listed_entries != listed_entries_) {
-    listed_entries_ = std::move(listed_entries);
+void entry_link::SetListedEntries(
+    capnp::List<wire::EntryEndpoint>::Reader entries) {
+  std::vector<entry_endpoint> listed = Decode(entries);
+  if (listed != listed_entries_) {
+    listed_entries_ = std::move(listed);
     context_.on_addresses_changed();
   }
 }
 
+void entry_link::SetRetiring(bool retiring) {
+  if (!handshake_done_ || retiring == retiring_) {
+    return;
+  }
+  retiring_ = retiring;
+  retirement_acknowledged_ = false;
+  context_.core.SetRetiring(entry_, retiring);
+  ScheduleReport();
+}
+
+bool entry_link::IsRetired() const {
+  return retiring_ && retirement_acknowledged_ && context_.core.IsIdle(entry_);
+}
+
 void entry_link::ScheduleReport() {
   if (!handshake_done_ || dropping_ || report_scheduled_) {
     return;
@@ -309,7 +341,7 @@
   if (!handshake_done_ || dropping_ || report_scheduled_) {
     return;
   }
-  const auto due = schedule_.StatusDue(context_.core.Status());
+  const auto due = schedule_.StatusDue(context_.core.StatusFor(entry_));
   if (!due) {
     return;
   }
@@ -348,7 +380,7 @@
     Encode(*result, wire_results[numbers.size()]);
     numbers.push_back(result->number);
   }
-  const minion_status status = context_.core.Status();
+  const minion_status status = context_.core.StatusFor(entry_);
   Encode(status, report.initStatus());
   if (ShouldSendConfig(schedule_.IsHeartbeatDue(now))) {
     Encode(context_.core.config(), report.initConfig());
@@ -359,11 +391,17 @@
   ++reports_in_flight_;
   ++context_.core.counters().reports;
   connection_->tasks.add(request.send().then(
-      [this, serial = serial_, numbers = std::move(numbers)](auto&& response) {
-        OnAcknowledged(serial, numbers,
+      [this, serial = serial_, numbers = std::move(numbers),
+       told_retirement = retiring_](
+          capnp::Response<wire::EntrySession::ReportResults>&& response) {
+        OnAcknowledged(serial, numbers, told_retirement,
                        std::chrono::milliseconds(response.getHeartbeatMs()),
                        std::chrono::milliseconds(response.getStatusMs()));
+        if (IsCurrent(serial)) {
+          held_responses_.add(kj::mv(response));
+        }
       }));
+  ReleaseHeldMessages();
   if (session.has_unsent()) {
     ScheduleReport();
   }
@@ -371,6 +409,7 @@
 
 void entry_link::OnAcknowledged(std::uint64_t serial,
                                 const std::vector<start_number>& numbers,
+                                bool told_retirement,
                                 std::chrono::milliseconds heartbeat,
                                 std::chrono::milliseconds status_interval) {
   if (!OnMessage(serial)) {
@@ -380,6 +419,7 @@
   schedule_.SetHeartbeat(heartbeat);
   context_.core.SetHeartbeat(schedule_.heartbeat());
   --reports_in_flight_;
+  retirement_acknowledged_ |= told_retirement && retiring_;
   entry_session& session = context_.core.Session(entry_);
   session.Acknowledge(numbers);
   if (session.has_unsent()) {
--- a/src/jayrill/agent/entry_link.h
+++ b/src/jayrill/agent/entry_link.h
@@ -15,6 +15,7 @@
 #include "jayrill/agent/report_schedule.h"
 #include "jayrill/base/random_source.h"
 #include "jayrill/rpc/dispatch.capnp.h"
+#include "jayrill/rpc/entry_endpoint.h"
 
 namespace jayrill {
 
@@ -39,7 +40,7 @@
     kj::AsyncIoProvider& io;
     random_source& random;
     agent_core& core;
-    /// Called when an entry has sent a changed list of entry addresses.
+    /// Called when an entry has sent a changed list of entries.
     std::function<void()> on_addresses_changed;
   };
 
@@ -76,20 +77,31 @@
   bool connected() const { return handshake_done_; }
   /// \returns the incarnation of the connected entry; 0: none.
   incarnation entry() const { return entry_; }
-  /// \returns the entry addresses that the entry has sent last.
-  const std::vector<std::string>& listed_entries() const {
+  /// \returns the entries that the entry has sent last.
+  const std::vector<entry_endpoint>& listed_entries() const {
     return listed_entries_;
   }
 
+  /// Tells the entry to send no further starts, because the agent is about to
+  /// close this link, or takes that back.
+  void SetRetiring(bool retiring);
+
+  /// \returns true when a retiring link can be closed: the entry knows that it
+  /// must send no starts, and none of them is left.
+  bool IsRetired() const;
+
   // Calls of the entry, forwarded by internal::agent_port. A call whose serial
   // number is not that of the current connection is ignored.
-  void OnStart(std::uint64_t serial, wire::StartBatch::Reader batch);
+  /// \returns a promise for the answer to the call. It is fulfilled with the
+  /// next report, so that both are sent together and wake the entry once.
+  kj::Promise<void> OnStart(std::uint64_t serial,
+                            wire::StartBatch::Reader batch);
   void OnCancel(std::uint64_t serial,
                 capnp::List<std::uint64_t>::Reader numbers);
   config_revision OnConfigure(std::uint64_t serial,
                               wire::Config::Reader config);
   void OnHeartbeat(std::uint64_t serial,
-                   capnp::List<capnp::Text>::Reader entries);
+                   capnp::List<wire::EntryEndpoint>::Reader entries);
 
  private:
   kj::Promise<void> ConnectLoop();
@@ -103,10 +115,14 @@
   bool ShouldSendConfig(bool heartbeat) const;
   void OnAcknowledged(std::uint64_t serial,
                       const std::vector<start_number>& numbers,
+                      bool told_retirement,
                       std::chrono::milliseconds heartbeat,
                       std::chrono::milliseconds status_interval);
+  /// Sends the answers to start calls and the ends of report calls that were
+  /// kept back for the next report.
+  void ReleaseHeldMessages();
   void ReportStatusWhenDue();
-  void SetListedEntries(capnp::List<capnp::Text>::Reader entries);
+  void SetListedEntries(capnp::List<wire::EntryEndpoint>::Reader entries);
   bool IsCurrent(std::uint64_t serial) const;
   /// Records that the entry has sent a call or a response.
   /// \returns false when the message must be ignored: it belongs to an earlier
@@ -124,15 +140,21 @@
   bool is_alias_ = false;  // The agent already has a link to this entry.
   bool report_scheduled_ = false;
   bool status_timer_set_ = false;
+  bool retiring_ = false;
+  bool retirement_acknowledged_ = false;  // By the answer to a report.
   bool config_due_ = false;  // The entry works with an older configuration.
   std::uint32_t reports_in_flight_ = 0;
   incarnation entry_;
   connection_epoch epoch_;
   config_revision entry_revision_;  // Last that the entry sent or was sent.
-  std::vector<std::string> listed_entries_;
+  std::vector<entry_endpoint> listed_entries_;
   // Batches that arrived before the response to connect.
   std::vector<start_batch> early_batches_;
   kj::Own<agent::internal::entry_connection> connection_;
+  kj::Vector<kj::Own<kj::PromiseFulfiller<void>>> held_answers_;
+  // Cap'n Proto ends a call when its response is destroyed.
+  kj::Vector<capnp::Response<wire::EntrySession::ReportResults>>
+      held_responses_;
   kj::Own<kj::TaskSet> tasks_;
 };
 
--- a/src/jayrill/agent/entry_session.h
+++ b/src/jayrill/agent/entry_session.h
@@ -83,6 +83,11 @@
   bool lost() const { return lost_; }
   void MarkLost() { lost_ = true; }
 
+  /// \returns true when the agent is about to close the session and accepts no
+  /// further starts.
+  bool retiring() const { return retiring_; }
+  void SetRetiring(bool retiring) { retiring_ = retiring; }
+
  private:
   start_gate gate_;
   // Highest epoch of the sessions that the entry has closed. The gate of each
@@ -91,6 +96,7 @@
   std::uint64_t generation_ = 1;
   bool connected_ = false;
   bool lost_ = false;
+  bool retiring_ = false;
   steady_time disconnected_at_;
   steady_time last_message_at_;
   std::map<start_number, task_result> results_;
--- a/src/jayrill/agent/internal/agent_loop.cc
+++ b/src/jayrill/agent/internal/agent_loop.cc
@@ -4,6 +4,10 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
+#include <vector>
+
+#include "jayrill/agent/entry_selection.h"
 
 namespace jayrill::agent::internal {
 
@@ -66,6 +70,11 @@
     for (const auto& [address, link] : links_) {
       link->Tick();
     }
+    CloseRetiredLinks();
+    if (connected_links() != links_at_last_tick_) {
+      links_at_last_tick_ = connected_links();
+      ScheduleLinkUpdate();
+    }
     on_view_({core_.counters(), core_.Status(), connected_links()});
     if (stop_started_at_) {
       FinishStop();
@@ -107,18 +116,47 @@
   }
 }
 
-void agent_loop::UpdateLinks() {
-  std::set<std::string> wanted(settings_.entries.begin(),
-                               settings_.entries.end());
+std::set<std::string> agent_loop::WantedEntries() {
+  std::map<std::string, entry_endpoint> listed;
   for (const auto& [address, link] : links_) {
-    if (link->connected()) {
-      wanted.insert(address);
-      wanted.insert(link->listed_entries().begin(),
-                    link->listed_entries().end());
+    for (const entry_endpoint& entry : link->listed_entries()) {
+      if (link->connected()) {
+        listed.emplace(entry.address, entry);
+      }
     }
   }
+  // While no entry is connected, those that were known last are dialled.
+  if (!listed.empty()) {
+    known_entries_ = std::move(listed);
+  }
+  std::map<std::string, entry_endpoint> candidates = known_entries_;
+  const bool seeds_needed =
+      connected_links() == 0 ||
+      candidates.size() + settings_.entries.size() <= settings_.entry_limit;
+  std::vector<entry_endpoint> entries;
+  for (const auto& [address, entry] : candidates) {
+    entries.push_back(entry);
+  }
+  std::set<std::string> wanted = SelectEntries(
+      settings_.id, settings_.data_centre, entries, settings_.entry_limit);
+  if (seeds_needed) {
+    wanted.insert(settings_.entries.begin(), settings_.entries.end());
+  }
+  return wanted;
+}
+
+void agent_loop::UpdateLinks() {
+  for (const std::string& address : std::exchange(closed_links_, {})) {
+    links_.erase(address);
+    closing_links_.erase(address);
+  }
+  const std::set<std::string> wanted = WantedEntries();
+  for (const auto& [address, link] : links_) {
+    link->SetRetiring(!wanted.contains(address));
+  }
   std::erase_if(links_, [&wanted](const auto& address_and_link) {
-    return !wanted.contains(address_and_link.first);
+    return !wanted.contains(address_and_link.first) &&
+           !address_and_link.second->connected();
   });
   for (const std::string& address : wanted) {
     if (!links_.contains(address)) {
@@ -129,6 +167,17 @@
   }
 }
 
+void agent_loop::CloseRetiredLinks() {
+  for (const auto& [address, link] : links_) {
+    if (link->IsRetired() && closing_links_.insert(address).second) {
+      tasks_.add(link->SendGoodbye().then([this, address = address] {
+        closed_links_.insert(address);
+        ScheduleLinkUpdate();
+      }));
+    }
+  }
+}
+
 std::size_t agent_loop::connected_links() const {
   return static_cast<std::size_t>(std::count_if(
       links_.begin(), links_.end(),
--- a/src/jayrill/agent/internal/agent_loop.h
+++ b/src/jayrill/agent/internal/agent_loop.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "jayrill/agent/agent_core.h"
@@ -67,9 +68,14 @@
   /// stop.
   void FinishStop();
   void ScheduleLinkUpdate();
-  /// Adds and removes links so that there is one for each address from the
-  /// settings, of a connected entry and of the lists of connected entries.
+  /// \returns the addresses of the entries to connect to: those that
+  /// SelectEntries chooses of the listed ones, and the entries from the
+  /// settings while there are few entries or none is connected.
+  std::set<std::string> WantedEntries();
+  /// Adds links to wanted entries, and retires the others.
   void UpdateLinks();
+  /// Closes the links that are retired and have no work left.
+  void CloseRetiredLinks();
 
   const agent_settings& settings_;
   const clock& time_;
@@ -83,6 +89,11 @@
   agent_core core_;
   entry_link::context link_context_;
   std::map<std::string, std::unique_ptr<entry_link>> links_;
+  /// The entries that connected entries have listed last, by address.
+  std::map<std::string, entry_endpoint> known_entries_;
+  std::set<std::string> closing_links_;  ///< Links that have sent goodbye.
+  std::set<std::string> closed_links_;   ///< Those whose goodbye was answered.
+  std::size_t links_at_last_tick_ = 0;   ///< How many were connected.
   bool link_update_scheduled_ = false;
   std::optional<steady_time> stop_started_at_;
   bool saying_goodbye_ = false;
--- a/src/jayrill/agent/internal/agent_port.h
+++ b/src/jayrill/agent/internal/agent_port.h
@@ -22,8 +22,7 @@
 
  protected:
   kj::Promise<void> start(StartContext context) override {
-    link_.OnStart(serial_, context.getParams().getBatch());
-    return kj::READY_NOW;
+    return link_.OnStart(serial_, context.getParams().getBatch());
   }
   kj::Promise<void> cancel(CancelContext context) override {
     link_.OnCancel(serial_, context.getParams().getNumbers());
--- a/src/jayrill/agent/run_queue.cc
+++ b/src/jayrill/agent/run_queue.cc
@@ -88,6 +88,11 @@
   return withdrawn;
 }
 
+bool run_queue::HasStartOf(incarnation entry) const {
+  const auto first = ranks_.lower_bound(start_key(entry, start_number{}));
+  return first != ranks_.end() && first->first.first == entry;
+}
+
 std::chrono::microseconds run_queue::TimeUntilFree(std::uint32_t slots) const {
   if (slots == 0 || busy_ + waiting_.size() < slots) {
     return {};
--- a/src/jayrill/agent/run_queue.h
+++ b/src/jayrill/agent/run_queue.h
@@ -65,6 +65,12 @@
   /// slots, from the mean of recent run times.
   std::chrono::microseconds TimeUntilFree(std::uint32_t slots) const;
 
+  /// \returns true when a start of \p entry waits.
+  bool HasStartOf(incarnation entry) const;
+
+  /// \returns the resources that running starts need.
+  resource_amount running_use() const { return running_use_; }
+
   /// \returns the resources that running and waiting starts need.
   resource_amount used() const { return running_use_ + waiting_use_; }
 
--- a/src/jayrill/cli/flags.h
+++ b/src/jayrill/cli/flags.h
@@ -25,6 +25,7 @@
 ABSL_DECLARE_FLAG(std::string, rack);
 ABSL_DECLARE_FLAG(std::string, announce_listen);
 ABSL_DECLARE_FLAG(std::vector<std::string>, entries);
+ABSL_DECLARE_FLAG(std::int64_t, entry_limit);
 ABSL_DECLARE_FLAG(std::int64_t, queue_limit);
 ABSL_DECLARE_FLAG(std::string, listen);
 ABSL_DECLARE_FLAG(std::string, agent);
--- a/src/jayrill/cli/role_flags.cc
+++ b/src/jayrill/cli/role_flags.cc
@@ -47,6 +47,11 @@
     entries,
     {},
     "RPC addresses of some entries, from which the agent learns the others");
+ABSL_FLAG(std::int64_t,
+          entry_limit,
+          12,
+          "Most entries that an agent holds sessions with; of more entries it "
+          "chooses by their processor share and data centre");
 ABSL_FLAG(std::int64_t,
           queue_limit,
           4096,
--- a/src/jayrill/cli/role_settings.cc
+++ b/src/jayrill/cli/role_settings.cc
@@ -47,6 +47,8 @@
   settings.rack = absl::GetFlag(FLAGS_rack);
   settings.http_address = absl::GetFlag(FLAGS_announce_listen);
   settings.entries = absl::GetFlag(FLAGS_entries);
+  settings.entry_limit =
+      static_cast<std::uint32_t>(absl::GetFlag(FLAGS_entry_limit));
   settings.silence_timeout = SilenceTimeout();
   settings.status_interval =
       std::chrono::milliseconds(absl::GetFlag(FLAGS_status_interval_ms));
--- a/src/jayrill/cli/settings_table.cc
+++ b/src/jayrill/cli/settings_table.cc
@@ -37,6 +37,7 @@
     {"duration_ms", kNumber, kLoad, 0, kMs, 1, kDayMs},
     {"entries", kAddressList, kAgent},
     {"entry", kAddressList, kClientCommands, kClientCommands},
+    {"entry_limit", kNumber, kAgent, 0, "entries", 1, 1024},
     {"faults", kChoice, kMinionRoles, 0, "", 0, 0,
      "none,fail,not_json,not_http,never,endless,huge,drop,reset,truncate"},
     {"fleet", kText, kLoad, kLoad},
--- a/src/jayrill/entry/admission.cc
+++ b/src/jayrill/entry/admission.cc
@@ -42,13 +42,18 @@
   for (const task_spec& task : spec.tasks) {
     bytes += task.payload.size();
   }
-  if (state.waiting_tasks + spec.tasks.size() > kMaxWaitingTasks ||
-      bytes > kMaxPayloadBytes) {
+  if (state.waiting_tasks + spec.tasks.size() > kMaxWaitingTasks) {
     return refusal{"queue_full",
                    std::to_string(state.waiting_tasks) +
                        " tasks are waiting at this entry",
                    "submit again later or to another entry"};
   }
+  if (bytes > kMaxPayloadBytes) {
+    return refusal{"queue_full",
+                   "the payloads of the jobs at this entry have " +
+                       std::to_string(state.payload_bytes) + " bytes",
+                   "submit again later or to another entry"};
+  }
   return std::nullopt;
 }
 
--- a/src/jayrill/entry/agent_connection.cc
+++ b/src/jayrill/entry/agent_connection.cc
@@ -147,12 +147,10 @@
   }));
 }
 
-void agent_connection::SendHeartbeat(const std::vector<std::string>& entries) {
+void agent_connection::SendHeartbeat(
+    const std::vector<entry_endpoint>& entries) {
   auto request = Port().heartbeatRequest();
-  auto wire = request.initEntries(static_cast<unsigned>(entries.size()));
-  for (unsigned i = 0; i < wire.size(); ++i) {
-    wire.set(i, entries[i]);
-  }
+  Encode(entries, request.initEntries(static_cast<unsigned>(entries.size())));
   calls_.add(request.send().ignoreResult());
 }
 
--- a/src/jayrill/entry/agent_connection.h
+++ b/src/jayrill/entry/agent_connection.h
@@ -45,7 +45,7 @@
   void SendConfig(config_revision revision,
                   const std::string& packed,
                   std::uint64_t push);
-  void SendHeartbeat(const std::vector<std::string>& entries);
+  void SendHeartbeat(const std::vector<entry_endpoint>& entries);
 
   /// Updates last_sent(): the reply to a report counts as a heartbeat.
   void OnReportAnswered();
--- a/src/jayrill/entry/agent_server.cc
+++ b/src/jayrill/entry/agent_server.cc
@@ -18,6 +18,11 @@
 /// yet.
 constexpr std::size_t kMaxConnections = 2000;
 
+/// Shortest time between two changed lists of entries that are sent to all
+/// agents. When all entries start together, each list differs from the last by
+/// one entry.
+constexpr std::chrono::milliseconds kEntryListInterval{500};
+
 kj::Duration ToKj(steady_duration duration) {
   return std::chrono::duration_cast<std::chrono::microseconds>(duration)
              .count() *
@@ -146,11 +151,19 @@
   // Agents report once an interval and up to a tick later, and the reply counts
   // as a heartbeat. Waiting half an interval longer makes most heartbeats
   // unnecessary.
-  heartbeat_interval_ = HeartbeatInterval(core_.open_sessions());
+  const std::size_t sessions = core_.open_sessions();
+  heartbeat_interval_ = HeartbeatInterval(sessions);
+  status_interval_ = StatusReportInterval(sessions, settings_.processor_cores);
   const auto interval = heartbeat_interval_ * 3 / 2;
   const steady_time now = time_.Now();
+  const bool sends_list =
+      entries_changed_ && now - entries_sent_at_ >= kEntryListInterval;
+  if (sends_list) {
+    entries_changed_ = false;
+    entries_sent_at_ = now;
+  }
   for (const auto& [agent, connection] : agent_connections_) {
-    if (now - connection->last_sent() >= interval) {
+    if (sends_list || now - connection->last_sent() >= interval) {
       SendHeartbeat(*connection);
     }
   }
@@ -161,13 +174,10 @@
   connection.SendHeartbeat(entries_);
 }
 
-void agent_server::SetEntries(std::vector<std::string> entries) {
-  if (entries == entries_) {
-    return;
-  }
-  entries_ = std::move(entries);
-  for (const auto& [agent, connection] : agent_connections_) {
-    SendHeartbeat(*connection);
+void agent_server::SetEntries(std::vector<entry_endpoint> entries) {
+  if (entries != entries_) {
+    entries_ = std::move(entries);
+    entries_changed_ = true;
   }
 }
 
--- a/src/jayrill/entry/agent_server.h
+++ b/src/jayrill/entry/agent_server.h
@@ -54,9 +54,9 @@
   /// handled everything that has arrived.
   void ScheduleFlush();
 
-  /// Sets the RPC addresses of the live entries and sends them to all agents if
-  /// they have changed.
-  void SetEntries(std::vector<std::string> entries);
+  /// Sets the list of the live entries. A changed list is sent to all agents
+  /// soon.
+  void SetEntries(std::vector<entry_endpoint> entries);
 
   // Called by agent_connection and entry_port_server.
 
@@ -73,13 +73,10 @@
   void WriteConfig(wire::Config::Builder wire);
 
   const dispatch_settings& settings() const { return settings_; }
-  const std::vector<std::string>& entries() const { return entries_; }
+  const std::vector<entry_endpoint>& entries() const { return entries_; }
 
   /// \returns the minimum time between two reports without results of an agent.
-  std::chrono::milliseconds status_interval() const {
-    return StatusReportInterval(core_.open_sessions(),
-                                settings_.processor_cores);
-  }
+  std::chrono::milliseconds status_interval() const { return status_interval_; }
 
   /// \returns the heartbeat interval that the last tick has computed.
   std::chrono::milliseconds heartbeat_interval() const {
@@ -117,7 +114,9 @@
   config_callback newer_config_;
   std::function<void()> after_flush_;
   dispatcher core_;
-  std::vector<std::string> entries_;
+  std::vector<entry_endpoint> entries_;
+  bool entries_changed_ = false;  ///< Since they were sent to all agents.
+  steady_time entries_sent_at_;
   std::set<agent_connection*> connections_;
   std::map<agent_handle, agent_connection*> agent_connections_;
   std::optional<config_revision> packed_revision_;
@@ -125,6 +124,7 @@
   bool flush_scheduled_ = false;
   std::optional<steady_time> armed_deadline_;
   std::chrono::milliseconds heartbeat_interval_{1000};
+  std::chrono::milliseconds status_interval_{};
   kj::Maybe<kj::Promise<void>> deadline_timer_;
   kj::Own<kj::ConnectionReceiver> receiver_;
   bool stopping_ = false;
--- a/src/jayrill/entry/agent_session.cc
+++ b/src/jayrill/entry/agent_session.cc
@@ -225,6 +225,7 @@
     case not_run_reason::kNone:
     case not_run_reason::kExpired:
     case not_run_reason::kCancelled:
+    case not_run_reason::kBusy:         // The status shows that it has no room.
     case not_run_reason::kStaleConfig:  // IsUsable compares the revisions.
       break;
   }
@@ -256,9 +257,7 @@
   switch (health_.Permission(now)) {
     case minion_health::permission::kAllowed: {
       const std::uint32_t limit =
-          now - joined_ >= slow_start_
-              ? view.slots
-              : SlowStartLimit(joined_, now, view.slots);
+          SlowStartLimit(joined_, now, view.slots, slow_start_);
       view.start_limit = limit < view.slots ? limit : view.slots + lookahead;
       break;
     }
--- a/src/jayrill/entry/dispatch_port.h
+++ b/src/jayrill/entry/dispatch_port.h
@@ -15,6 +15,7 @@
 #include "jayrill/job/job_outcome.h"
 #include "jayrill/job/job_spec.h"
 #include "jayrill/job/task_result.h"
+#include "jayrill/rpc/entry_endpoint.h"
 
 namespace jayrill {
 
@@ -79,8 +80,8 @@
   /// current.
   virtual void ConfirmConfig() = 0;
 
-  /// Sets the RPC addresses of all live entries and passes them to the agents.
-  virtual void SetEntryAddresses(std::vector<std::string> addresses) = 0;
+  /// Sets the list of all live entries and passes it to the agents.
+  virtual void SetEntries(std::vector<entry_endpoint> entries) = 0;
 
   /// Sets this entry's share of each team's quota, 0 to 1.
   virtual void SetTeamShares(std::map<std::string, double> shares) = 0;
--- a/src/jayrill/entry/dispatch_service.cc
+++ b/src/jayrill/entry/dispatch_service.cc
@@ -200,10 +200,10 @@
   });
 }
 
-void dispatch_service::SetEntryAddresses(std::vector<std::string> addresses) {
-  queue_.Post([this, addresses = std::move(addresses)]() {
+void dispatch_service::SetEntries(std::vector<entry_endpoint> entries) {
+  queue_.Post([this, entries = std::move(entries)]() {
     if (server_ != nullptr) {
-      server_->SetEntries(addresses);
+      server_->SetEntries(entries);
     }
   });
 }
--- a/src/jayrill/entry/dispatch_service.h
+++ b/src/jayrill/entry/dispatch_service.h
@@ -53,7 +53,7 @@
   void Cancel(job_id id) override;
   void OfferConfig(shared_config config) override;
   void ConfirmConfig() override;
-  void SetEntryAddresses(std::vector<std::string> addresses) override;
+  void SetEntries(std::vector<entry_endpoint> entries) override;
   void SetTeamShares(std::map<std::string, double> shares) override;
   void OnNewerConfig(std::function<void(shared_config)> listener) override;
   void GetStatus(std::function<void(dispatch_status)> done) override;
--- a/src/jayrill/entry/dispatcher_results.cc
+++ b/src/jayrill/entry/dispatcher_results.cc
@@ -56,7 +56,7 @@
   }
   const task_record& task = job.tasks[index];
   return (end.outcome == task_outcome::kInterrupted &&
-          task.starts < kMaxStartsPerRepeatableTask) ||
+          task.starts - task.returns < kMaxStartsPerRepeatableTask) ||
          (end.outcome == task_outcome::kFailed &&
           task.failures + 1 < ProfileOf(job.spec).attempts);
 }
@@ -88,13 +88,18 @@
 void dispatcher::RetryOrFail(job_record& job,
                              std::uint32_t index,
                              const task_result& result) {
-  const task_record& task = job.tasks[index];
+  task_record& task = job.tasks[index];
+  const bool is_return = result.outcome == task_outcome::kNotRun &&
+                         result.reason == not_run_reason::kBusy;
+  task.returns += is_return ? 1 : 0;
   const std::uint32_t max_starts =
       job.spec.repeatable ? kMaxStartsPerRepeatableTask : kMaxStartsPerTask;
-  // The entry receives the newer configuration with this result, so the next
-  // start is not refused for the same reason and needs no retry budget.
-  const bool needs_no_budget = result.reason == not_run_reason::kStaleConfig;
-  if (task.starts >= max_starts ||
+  // The entry receives the newer configuration or the load of the minion with
+  // this result, so the next start is not refused for the same reason and needs
+  // no retry budget.
+  const bool needs_no_budget =
+      is_return || result.reason == not_run_reason::kStaleConfig;
+  if (task.starts - task.returns >= max_starts ||
       (!needs_no_budget && !retry_budget_.TryTake())) {
     const std::string reason = result.message.empty()
                                    ? std::string(ToString(result.reason))
--- a/src/jayrill/entry/dispatcher_sending.cc
+++ b/src/jayrill/entry/dispatcher_sending.cc
@@ -6,6 +6,19 @@
 
 namespace jayrill {
 
+namespace {
+
+/// Longest expected wait at an agent. A start that would wait longer is given
+/// back and goes to another minion: what the entry knew of this one was out of
+/// date.
+constexpr std::chrono::milliseconds kMaxAgentWaitTime{20};
+
+/// After this many returns a task may wait at the next agent. All minions are
+/// busy then, and further returns would only cost messages.
+constexpr std::uint32_t kMaxReturns = 4;
+
+}  // namespace
+
 void dispatcher::BeginEvent() {
   // After a pause of the process, data that has waited in the sockets may be
   // handled before the next timer, so the pause must be detected here.
@@ -197,6 +210,9 @@
   request.attempt = record.starts;
   request.needs = spec.needs;
   request.expected_run = std::chrono::ceil<std::chrono::milliseconds>(expected);
+  if (!placer_.BindsEarly() && record.returns < kMaxReturns) {
+    request.max_wait = kMaxAgentWaitTime;
+  }
   request.remaining =
       std::chrono::floor<std::chrono::milliseconds>(job.deadline - now);
   // Agents compare the priorities of starts from several entries. Monotonic
--- a/src/jayrill/entry/entry_port_server.cc
+++ b/src/jayrill/entry/entry_port_server.cc
@@ -54,11 +54,8 @@
   auto results = context.getResults();
   auto welcome = results.initWelcome();
   server.WriteConfig(welcome.initConfig());
-  const std::vector<std::string>& entries = server.entries();
-  auto list = welcome.initEntries(static_cast<unsigned>(entries.size()));
-  for (unsigned i = 0; i < list.size(); ++i) {
-    list.set(i, entries[i]);
-  }
+  const std::vector<entry_endpoint>& entries = server.entries();
+  Encode(entries, welcome.initEntries(static_cast<unsigned>(entries.size())));
   welcome.setHeartbeatMs(static_cast<std::uint32_t>(
       HeartbeatInterval(server.core().open_sessions()).count()));
   welcome.setStatusMs(
--- a/src/jayrill/entry/entry_process.cc
+++ b/src/jayrill/entry/entry_process.cc
@@ -3,6 +3,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <map>
 #include <set>
 #include <utility>
 
@@ -47,6 +48,15 @@
   return dispatch;
 }
 
+std::uint32_t CpuMillis(const entry_settings& settings) {
+  constexpr double kMillis = 1000;
+  return static_cast<std::uint32_t>(settings.processor_cores * kMillis);
+}
+
+entry_endpoint EndpointOf(const entry_record& record) {
+  return {record.rpc_address, record.data_centre, record.cpu_millis};
+}
+
 }  // namespace
 
 entry_process::entry_process(entry_settings settings,
@@ -217,7 +227,9 @@
                            : settings_.rpc_advertise;
   settings_.http_advertise = record.http_address;
   settings_.rpc_advertise = record.rpc_address;
-  dispatch_.SetEntryAddresses({record.rpc_address});
+  record.data_centre = settings_.data_centre;
+  record.cpu_millis = CpuMillis(settings_);
+  dispatch_.SetEntries({EndpointOf(record)});
   membership_ = std::make_unique<membership>(
       *store_, timers_, time_, std::move(record),
       [this](const std::vector<entry_record>& entries) { OnEntries(entries); });
@@ -248,6 +260,13 @@
   record.process = incarnation_;
   record.http_address = settings_.http_advertise;
   record.rpc_address = settings_.rpc_advertise;
+  record.data_centre = settings_.data_centre;
+  record.cpu_millis = CpuMillis(settings_);
+  // Only the demand of teams with a quota matters to others. Without the rest
+  // the record seldom changes, and each change is read by every entry.
+  std::erase_if(status_.team_demand, [this](const auto& demand) {
+    return !config_->current()->teams.contains(demand.first);
+  });
   membership_->Update(MakeEntryRecord(status_, std::move(record)));
 }
 
@@ -268,11 +287,17 @@
 }
 
 void entry_process::OnEntries(const std::vector<entry_record>& entries) {
-  std::set<std::string> addresses{settings_.rpc_advertise};
+  const entry_endpoint own{settings_.rpc_advertise, settings_.data_centre,
+                           CpuMillis(settings_)};
+  std::map<std::string, entry_endpoint> by_address{{own.address, own}};
   for (const entry_record& entry : entries) {
-    addresses.insert(entry.rpc_address);
+    by_address.emplace(entry.rpc_address, EndpointOf(entry));
+  }
+  std::vector<entry_endpoint> endpoints;
+  for (const auto& [address, endpoint] : by_address) {
+    endpoints.push_back(endpoint);
   }
-  dispatch_.SetEntryAddresses({addresses.begin(), addresses.end()});
+  dispatch_.SetEntries(std::move(endpoints));
   UpdateShares();
 }
 
--- a/src/jayrill/entry/job_record.h
+++ b/src/jayrill/entry/job_record.h
@@ -21,7 +21,8 @@
   agent_handle agent;   ///< Of the outstanding start.
   start_number number;  ///< Of the outstanding start; 0 when there is none.
   std::uint32_t starts = 0;
-  std::uint32_t failures = 0;            ///< Runs that have failed.
+  std::uint32_t returns = 0;   ///< Starts that busy minions gave back.
+  std::uint32_t failures = 0;  ///< Runs that have failed.
   std::chrono::microseconds run_time{};  ///< Expected on the average minion.
 };
 
--- a/src/jayrill/job/task_result.cc
+++ b/src/jayrill/job/task_result.cc
@@ -26,6 +26,8 @@
       return "connection_refused";
     case not_run_reason::kRefused:
       return "refused";
+    case not_run_reason::kBusy:
+      return "busy";
     case not_run_reason::kWrongService:
       return "wrong_service";
   }
--- a/src/jayrill/job/task_result.h
+++ b/src/jayrill/job/task_result.h
@@ -36,6 +36,7 @@
   kConnectionRefused,
   kWrongService,
   kRefused,  ///< The minion refused the start.
+  kBusy,     ///< The start would have waited longer than its max_wait.
 };
 
 /// Result of one start, as the agent reports it.
--- a/src/jayrill/membership/entry_record.h
+++ b/src/jayrill/membership/entry_record.h
@@ -19,8 +19,10 @@
   incarnation process;
   std::string rpc_address;  ///< As IP:port.
   std::string http_address;
-  config_revision revision;  ///< Configuration in force at the entry.
-  std::uint32_t agents = 0;  ///< Agents that send reports to the entry.
+  std::string data_centre;          ///< Empty when it is not known.
+  std::uint32_t cpu_millis = 1000;  ///< Thousandths of a core it may use.
+  config_revision revision;         ///< Configuration in force at the entry.
+  std::uint32_t agents = 0;         ///< Agents that send reports to the entry.
   std::uint32_t agents_at_revision = 0;  ///< Those of them that use `revision`.
   std::vector<std::string> silent_agents;
   std::map<std::string, std::uint32_t> team_demand;  ///< Tasks by team.
--- a/src/jayrill/placement/minion_view.h
+++ b/src/jayrill/placement/minion_view.h
@@ -65,6 +65,18 @@
                                time_until_free <= kLookaheadWait));
   }
 
+  /// \returns the part of the slots or of the processor that is in use,
+  /// whichever is larger.
+  double Utilisation() const {
+    const double by_slots =
+        slots == 0 ? 1.0 : static_cast<double>(Load()) / slots;
+    const double by_processor =
+        room.cpu_millis == 0
+            ? 0.0
+            : static_cast<double>(used.cpu_millis) / room.cpu_millis;
+    return std::max(by_slots, by_processor);
+  }
+
   /// \returns how many tasks with \p needs can run at the same time, limited by
   /// slots, processor and memory.
   double SlotsFor(const resource_amount& needs) const {
--- a/src/jayrill/placement/placement_strategy.cc
+++ b/src/jayrill/placement/placement_strategy.cc
@@ -1,10 +1,12 @@
 #include "jayrill/placement/placement_strategy.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <limits>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace jayrill {
 
@@ -82,14 +84,20 @@
 /// Late binding, in this order:
 /// 1. A minion that is due for a trial gets the next task. Otherwise it would
 ///    get none as long as a faster minion has a free slot.
-/// 2. A task with slack goes to the slowest minion with a free slot that is
-///    expected to finish it in time, so that fast slots stay free for the tasks
-///    that determine when a job ends.
+/// 2. A task with slack goes to one of the slowest minions with a free slot
+/// that
+///    are expected to finish it in time, so that fast slots stay free for the
+///    tasks that determine when a job ends. Of similar minions, the less loaded
+///    of two random ones is taken: entries that know the same of the minions
+///    would otherwise all send to the same one.
 /// 3. Any other task goes to the minion with the earliest expected finish. The
 ///    task waits for a busy fast minion when that is expected to finish sooner
 ///    than a free slow one.
 class earliest_finish_strategy final : public placement_strategy {
  public:
+  explicit earliest_finish_strategy(const random_source& random)
+      : random_(random) {}
+
   std::optional<placement_choice> Prefer(
       const task_demand& task,
       std::span<const minion_view> minions) override {
@@ -118,23 +126,35 @@
     return std::nullopt;
   }
 
-  static std::optional<placement_choice> SlowestWithinSlack(
+  /// Minions whose slowness differs by less than this factor count as similar.
+  static constexpr double kSimilarSlowness = 1.3;
+
+  std::optional<placement_choice> SlowestWithinSlack(
       const task_demand& task,
       std::span<const minion_view> minions) {
-    std::optional<placement_choice> best;
     const double max_slowness =
         static_cast<double>(task.slack.count()) /
         (kSlackMargin * static_cast<double>(task.run_time.count() + 1));
+    suitable_.clear();
+    double slowest = 0;
     for (std::size_t i = 0; i < minions.size(); ++i) {
       const minion_view& minion = minions[i];
-      if (!minion.HasFreeSlot(task.needs) || minion.slowness > max_slowness) {
-        continue;
-      }
-      if (!best || minion.slowness > minions[best->index].slowness) {
-        best = placement_choice{i, true};
+      if (minion.HasFreeSlot(task.needs) && minion.slowness <= max_slowness) {
+        suitable_.push_back(i);
+        slowest = std::max(slowest, minion.slowness);
       }
     }
-    return best;
+    std::erase_if(suitable_, [&](std::size_t i) {
+      return minions[i].slowness * kSimilarSlowness < slowest;
+    });
+    if (suitable_.empty()) {
+      return std::nullopt;
+    }
+    const std::size_t first = suitable_[random_.Below(suitable_.size())];
+    const std::size_t second = suitable_[random_.Below(suitable_.size())];
+    const bool second_is_less =
+        minions[second].Utilisation() < minions[first].Utilisation();
+    return placement_choice{second_is_less ? second : first, true};
   }
 
   /// The minion with the earliest expected finish among those passed to
@@ -236,6 +256,9 @@
     const auto expected = static_cast<double>(minion.time_until_free.count());
     return minion.HasRoom(needs) ? kUnknownWaitMicros : expected;
   }
+
+  random_source random_;
+  std::vector<std::size_t> suitable_;  ///< A member so that calls reuse it.
 };
 
 using strategy_factory =
--- a/src/jayrill/rpc.h
+++ b/src/jayrill/rpc.h
@@ -9,6 +9,7 @@
 #include "jayrill/rpc/batched_stream.h"
 #include "jayrill/rpc/codec.h"
 #include "jayrill/rpc/dispatch.capnp.h"
+#include "jayrill/rpc/entry_endpoint.h"
 #include "jayrill/rpc/reader_limits.h"
 
 #endif  // JAYRILL_RPC_H_
--- a/src/jayrill/rpc/codec.cc
+++ b/src/jayrill/rpc/codec.cc
@@ -62,10 +62,9 @@
 
 // not_run_reason and wire::NotRunReason are converted by value, so their
 // enumerators must have the same order.
-constexpr auto kLastReason =
-    static_cast<std::uint16_t>(not_run_reason::kRefused);
+constexpr auto kLastReason = static_cast<std::uint16_t>(not_run_reason::kBusy);
 static_assert(kLastReason ==
-              static_cast<std::uint16_t>(wire::NotRunReason::REFUSED));
+              static_cast<std::uint16_t>(wire::NotRunReason::BUSY));
 
 not_run_reason FromWire(wire::NotRunReason reason) {
   const auto number = static_cast<std::uint16_t>(reason);
@@ -111,6 +110,7 @@
   wire.setJobName(order.job_name);
   wire.setAttempt(order.attempt);
   wire.setExpectedRunMs(ToWireMillis(order.expected_run));
+  wire.setMaxWaitMs(ToWireMillis(order.max_wait));
   EncodeAmount(order.needs, wire.initNeeds());
 }
 
@@ -141,6 +141,15 @@
   wire.setWarmingUpMs(ToWireMillis(status.warm_up_remaining));
 }
 
+void Encode(const std::vector<entry_endpoint>& entries,
+            capnp::List<wire::EntryEndpoint>::Builder wire) {
+  for (unsigned i = 0; i < wire.size(); ++i) {
+    wire[i].setAddress(entries[i].address);
+    wire[i].setDataCentre(entries[i].data_centre);
+    wire[i].setCpuMillis(entries[i].cpu_millis);
+  }
+}
+
 start_request Decode(wire::Start::Reader wire) {
   start_request order;
   order.number = start_number{wire.getNumber()};
@@ -155,6 +164,7 @@
   order.attempt = wire.getAttempt();
   order.needs = DecodeAmount(wire.getNeeds());
   order.expected_run = std::chrono::milliseconds(wire.getExpectedRunMs());
+  order.max_wait = std::chrono::milliseconds(wire.getMaxWaitMs());
   return order;
 }
 
@@ -197,6 +207,20 @@
   return DecodeList<task_result>(wire);
 }
 
+std::vector<entry_endpoint> Decode(
+    capnp::List<wire::EntryEndpoint>::Reader wire) {
+  std::vector<entry_endpoint> entries;
+  entries.reserve(std::min(wire.size(), kMaxListedEntries));
+  for (const auto entry : wire) {
+    if (entries.size() == kMaxListedEntries) {
+      break;
+    }
+    entries.push_back({ToString(entry.getAddress()),
+                       ToString(entry.getDataCentre()), entry.getCpuMillis()});
+  }
+  return entries;
+}
+
 std::string ToString(capnp::Text::Reader text) {
   return {text.begin(), text.size()};
 }
--- a/src/jayrill/rpc/codec.h
+++ b/src/jayrill/rpc/codec.h
@@ -7,18 +7,25 @@
 #include "jayrill/job/start_request.h"
 #include "jayrill/job/task_result.h"
 #include "jayrill/rpc/dispatch.capnp.h"
+#include "jayrill/rpc/entry_endpoint.h"
 
 namespace jayrill {
 
 /// Version of the protocol between entries and agents. Both sides refuse a
 /// peer with another version.
-inline constexpr std::uint32_t kProtocolVersion = 3;
+inline constexpr std::uint32_t kProtocolVersion = 4;
+
+/// Limit of the entries that an agent takes from one list, so that a faulty
+/// list cannot fill its memory.
+inline constexpr std::uint32_t kMaxListedEntries = 1024;
 
 /// Writes a domain value into a message under construction. Durations that the
 /// message cannot hold are limited to its range.
 void Encode(const start_request& order, wire::Start::Builder wire);
 void Encode(const task_result& result, wire::TaskResult::Builder wire);
 void Encode(const minion_status& status, wire::MinionStatus::Builder wire);
+void Encode(const std::vector<entry_endpoint>& entries,
+            capnp::List<wire::EntryEndpoint>::Builder wire);
 
 /// \returns the domain value of a received message. An outcome that this
 /// release does not know becomes kUnknown, an unknown reason becomes kNone.
@@ -31,6 +38,11 @@
 std::vector<start_request> Decode(capnp::List<wire::Start>::Reader wire);
 std::vector<task_result> Decode(capnp::List<wire::TaskResult>::Reader wire);
 
+/// \returns the entries of a received list, without those after the first
+/// kMaxListedEntries.
+std::vector<entry_endpoint> Decode(
+    capnp::List<wire::EntryEndpoint>::Reader wire);
+
 /// \returns the text or data of a received message as a string.
 std::string ToString(capnp::Text::Reader text);
 std::string ToString(capnp::Data::Reader data);
--- a/src/jayrill/rpc/dispatch.capnp
+++ b/src/jayrill/rpc/dispatch.capnp
@@ -39,12 +39,18 @@
   # interrupted when it was stopped, otherwise its own outcome.
 
   configure @2 (config :Config) -> (revision :UInt64);
-  heartbeat @3 (entries :List(Text)) -> ();
+  heartbeat @3 (entries :List(EntryEndpoint)) -> ();
   # Sent when the entry has sent nothing, not even the response to a report, for
-  # one and a half heartbeat intervals. Carries the RPC addresses (IP:port) of
+  # one and a half heartbeat intervals, and when the list has changed. Carries
   # all live entries.
 }
 
+struct EntryEndpoint {
+  address @0 :Text;          # RPC address, IP:port
+  dataCentre @1 :Text;       # empty: not known
+  cpuMillis @2 :UInt32;      # thousandths of a core that the entry may use
+}
+
 struct EntryIdentity {
   id @0 :Text;
   incarnation @1 :UInt64;
@@ -66,7 +72,7 @@
 
 struct EntryWelcome {
   config @0 :Config;         # newest configuration of the entry
-  entries @1 :List(Text);    # RPC addresses of all live entries
+  entries @1 :List(EntryEndpoint);  # all live entries
   heartbeatMs @2 :UInt32;
   resumed @3 :Bool;          # false: the entry does not know the session, and
                              # the agent drops its unacknowledged results
@@ -104,6 +110,9 @@
   attempt @10 :UInt32;       # of the task, from 1
   needs @11 :ResourceAmount; # resources needed in addition to a slot
   expectedRunMs @12 :UInt32; # on this minion; 0: not known
+  maxWaitMs @13 :UInt32;     # the agent gives the start back as busy when it
+                             # expects it to wait for longer; 0: it may wait
+                             # until the deadline
 }
 
 enum TaskOutcome {
@@ -137,6 +146,7 @@
   connectionRefused @9;
   wrongService @10;
   refused @11;
+  busy @12;                  # it would have waited longer than maxWaitMs
 }
 
 struct MinionStatus {
--- a/src/jayrill/rpc/dispatch.capnp.h
+++ b/src/jayrill/rpc/dispatch.capnp.h
@@ -38,6 +38,7 @@
 CAPNP_DECLARE_SCHEMA(f4ecee692687f4aa);
 CAPNP_DECLARE_SCHEMA(97eab9dc73cdc2f1);
 CAPNP_DECLARE_SCHEMA(b63c9bae561c11a9);
+CAPNP_DECLARE_SCHEMA(d1770d71af9143b7);
 CAPNP_DECLARE_SCHEMA(85c717e449848bd8);
 CAPNP_DECLARE_SCHEMA(fcc843daa4888adb);
 CAPNP_DECLARE_SCHEMA(9314e51a09c847cb);
@@ -69,6 +70,7 @@
   CONNECTION_REFUSED,
   WRONG_SERVICE,
   REFUSED,
+  BUSY,
 };
 CAPNP_DECLARE_ENUM(NotRunReason, da2e727229e455cb);
 CAPNP_DECLARE_SCHEMA(f9f29e2b788cb5a1);
@@ -387,6 +389,21 @@
   };
 };
 
+struct EntryEndpoint {
+  EntryEndpoint() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d1770d71af9143b7, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct EntryIdentity {
   EntryIdentity() = delete;
 
@@ -485,7 +502,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(82db2e55169b57c3, 6, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(82db2e55169b57c3, 7, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1866,7 +1883,7 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasEntries() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getEntries() const;
+  inline  ::capnp::List< ::jayrill::wire::EntryEndpoint,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1897,12 +1914,11 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasEntries();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getEntries();
-  inline void setEntries( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setEntries(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initEntries(unsigned int size);
-  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownEntries();
+  inline  ::capnp::List< ::jayrill::wire::EntryEndpoint,  ::capnp::Kind::STRUCT>::Builder getEntries();
+  inline void setEntries( ::capnp::List< ::jayrill::wire::EntryEndpoint,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::jayrill::wire::EntryEndpoint,  ::capnp::Kind::STRUCT>::Builder initEntries(unsigned int size);
+  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::jayrill::wire::EntryEndpoint,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::jayrill::wire::EntryEndpoint,  ::capnp::Kind::STRUCT>> disownEntries();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2001,6 +2017,102 @@
 };
 #endif  // !CAPNP_LITE
 
+class EntryEndpoint::Reader {
+public:
+  typedef EntryEndpoint Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
+  inline bool hasDataCentre() const;
+  inline  ::capnp::Text::Reader getDataCentre() const;
+
+  inline  ::uint32_t getCpuMillis() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EntryEndpoint::Builder {
+public:
+  typedef EntryEndpoint Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
+  inline bool hasDataCentre();
+  inline  ::capnp::Text::Builder getDataCentre();
+  inline void setDataCentre( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
+  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
+
+  inline  ::uint32_t getCpuMillis();
+  inline void setCpuMillis( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EntryEndpoint::Pipeline {
+public:
+  typedef EntryEndpoint Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class EntryIdentity::Reader {
 public:
   typedef EntryIdentity Reads;
@@ -2266,7 +2378,7 @@
   inline  ::jayrill::wire::Config::Reader getConfig() const;
 
   inline bool hasEntries() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getEntries() const;
+  inline  ::capnp::List< ::jayrill::wire::EntryEndpoint,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
 
   inline  ::uint32_t getHeartbeatMs() const;
 
@@ -2310,12 +2422,11 @@
   inline ::capnp::Orphan< ::jayrill::wire::Config> disownConfig();
 
   inline bool hasEntries();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getEntries();
-  inline void setEntries( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setEntries(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initEntries(unsigned int size);
-  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownEntries();
+  inline  ::capnp::List< ::jayrill::wire::EntryEndpoint,  ::capnp::Kind::STRUCT>::Builder getEntries();
+  inline void setEntries( ::capnp::List< ::jayrill::wire::EntryEndpoint,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::jayrill::wire::EntryEndpoint,  ::capnp::Kind::STRUCT>::Builder initEntries(unsigned int size);
+  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::jayrill::wire::EntryEndpoint,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::jayrill::wire::EntryEndpoint,  ::capnp::Kind::STRUCT>> disownEntries();
 
   inline  ::uint32_t getHeartbeatMs();
   inline void setHeartbeatMs( ::uint32_t value);
@@ -2664,6 +2775,8 @@
 
   inline  ::uint32_t getExpectedRunMs() const;
 
+  inline  ::uint32_t getMaxWaitMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2751,6 +2864,9 @@
   inline  ::uint32_t getExpectedRunMs();
   inline void setExpectedRunMs( ::uint32_t value);
 
+  inline  ::uint32_t getMaxWaitMs();
+  inline void setMaxWaitMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3629,36 +3745,114 @@
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader AgentPort::HeartbeatParams::Reader::getEntries() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::jayrill::wire::EntryEndpoint,  ::capnp::Kind::STRUCT>::Reader AgentPort::HeartbeatParams::Reader::getEntries() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::jayrill::wire::EntryEndpoint,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder AgentPort::HeartbeatParams::Builder::getEntries() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::jayrill::wire::EntryEndpoint,  ::capnp::Kind::STRUCT>::Builder AgentPort::HeartbeatParams::Builder::getEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::jayrill::wire::EntryEndpoint,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void AgentPort::HeartbeatParams::Builder::setEntries( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+inline void AgentPort::HeartbeatParams::Builder::setEntries( ::capnp::List< ::jayrill::wire::EntryEndpoint,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::jayrill::wire::EntryEndpoint,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void AgentPort::HeartbeatParams::Builder::setEntries(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+inline  ::capnp::List< ::jayrill::wire::EntryEndpoint,  ::capnp::Kind::STRUCT>::Builder AgentPort::HeartbeatParams::Builder::initEntries(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::jayrill::wire::EntryEndpoint,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void AgentPort::HeartbeatParams::Builder::adoptEntries(
+    ::capnp::Orphan< ::capnp::List< ::jayrill::wire::EntryEndpoint,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::jayrill::wire::EntryEndpoint,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::jayrill::wire::EntryEndpoint,  ::capnp::Kind::STRUCT>> AgentPort::HeartbeatParams::Builder::disownEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::jayrill::wire::EntryEndpoint,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool EntryEndpoint::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryEndpoint::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader EntryEndpoint::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder EntryEndpoint::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EntryEndpoint::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder AgentPort::HeartbeatParams::Builder::initEntries(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder EntryEndpoint::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void AgentPort::HeartbeatParams::Builder::adoptEntries(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+inline void EntryEndpoint::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> AgentPort::HeartbeatParams::Builder::disownEntries() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> EntryEndpoint::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool EntryEndpoint::Reader::hasDataCentre() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryEndpoint::Builder::hasDataCentre() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader EntryEndpoint::Reader::getDataCentre() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder EntryEndpoint::Builder::getDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void EntryEndpoint::Builder::setDataCentre( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder EntryEndpoint::Builder::initDataCentre(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void EntryEndpoint::Builder::adoptDataCentre(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> EntryEndpoint::Builder::disownDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t EntryEndpoint::Reader::getCpuMillis() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t EntryEndpoint::Builder::getCpuMillis() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void EntryEndpoint::Builder::setCpuMillis( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool EntryIdentity::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4038,33 +4232,29 @@
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader EntryWelcome::Reader::getEntries() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::jayrill::wire::EntryEndpoint,  ::capnp::Kind::STRUCT>::Reader EntryWelcome::Reader::getEntries() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::jayrill::wire::EntryEndpoint,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder EntryWelcome::Builder::getEntries() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::jayrill::wire::EntryEndpoint,  ::capnp::Kind::STRUCT>::Builder EntryWelcome::Builder::getEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::jayrill::wire::EntryEndpoint,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void EntryWelcome::Builder::setEntries( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+inline void EntryWelcome::Builder::setEntries( ::capnp::List< ::jayrill::wire::EntryEndpoint,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::jayrill::wire::EntryEndpoint,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline void EntryWelcome::Builder::setEntries(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder EntryWelcome::Builder::initEntries(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::jayrill::wire::EntryEndpoint,  ::capnp::Kind::STRUCT>::Builder EntryWelcome::Builder::initEntries(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::jayrill::wire::EntryEndpoint,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void EntryWelcome::Builder::adoptEntries(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::capnp::List< ::jayrill::wire::EntryEndpoint,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::jayrill::wire::EntryEndpoint,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> EntryWelcome::Builder::disownEntries() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::jayrill::wire::EntryEndpoint,  ::capnp::Kind::STRUCT>> EntryWelcome::Builder::disownEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::jayrill::wire::EntryEndpoint,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
@@ -4549,6 +4739,20 @@
       ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Start::Reader::getMaxWaitMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Start::Builder::getMaxWaitMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+inline void Start::Builder::setMaxWaitMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t TaskResult::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/tests/entry/fake_agent.h
+++ b/tests/entry/fake_agent.h
@@ -112,12 +112,17 @@
         AddNotRun(order.number, not_run_reason::kDataCentreOut);
       } else if (hello_.status.draining) {
         AddNotRun(order.number, not_run_reason::kDraining);
+      } else if (gives_back_ && order.max_wait.count() > 0) {
+        AddNotRun(order.number, not_run_reason::kBusy);
       } else {
         queue_.push_back(order);
       }
     }
   }
 
+  /// Makes the agent give back each start that may be given back.
+  void SetGivesBack(bool gives_back) { gives_back_ = gives_back; }
+
   /// Drops the newest batch.
   void LoseBatch() {
     if (!inbox_.empty()) {
@@ -210,6 +215,7 @@
   std::deque<start_request> queue_;
   std::deque<start_request> running_;
   std::vector<task_result> results_;
+  bool gives_back_ = false;
   std::pair<std::optional<dispatcher::connect_reply>, std::vector<task_result>>
       late_report_;
 };
--- a/tests/integration/fake_entry.cc
+++ b/tests/integration/fake_entry.cc
@@ -222,7 +222,7 @@
       auto list = request.initEntries(static_cast<unsigned>(entries.size()));
       unsigned index = 0;
       for (const std::string& entry : entries) {
-        list.set(index++, entry);
+        list[index++].setAddress(entry);
       }
       own.tasks.add(request.send().ignoreResult());
     }
--- a/tests/unit/agent_core_test.cc
+++ b/tests/unit/agent_core_test.cc
@@ -128,6 +128,66 @@
   EXPECT_EQ(results.front().reason, not_run_reason::kQueueFull);
 }
 
+struct wait_case {
+  const char* name;
+  milliseconds running;   ///< Expected run time of the task that runs.
+  milliseconds max_wait;  ///< Of the start that arrives.
+  bool is_returned;
+};
+
+class wait_limit_test : public testing::TestWithParam<wait_case> {};
+
+// Guards against a start that waits behind a long task because its entry had an
+// outdated view of the minion, and against starts that are given back although
+// the slot is about to become free.
+TEST_P(wait_limit_test, GivesBackStartsThatWouldWaitTooLong) {
+  core_rig rig;
+  start_request first = Order(1);
+  first.expected_run = GetParam().running;
+  start_request second = Order(2);
+  second.max_wait = GetParam().max_wait;
+  rig.Send({first, second});
+  const auto results = rig.Results();
+  ASSERT_EQ(results.size(), GetParam().is_returned ? 1U : 0U);
+  if (GetParam().is_returned) {
+    EXPECT_EQ(results.front().number, start_number{2});
+    EXPECT_EQ(results.front().outcome, task_outcome::kNotRun);
+    EXPECT_EQ(results.front().reason, not_run_reason::kBusy);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Cases,
+    wait_limit_test,
+    testing::Values(
+        wait_case{"long_wait", milliseconds(900), milliseconds(20), true},
+        wait_case{"short_wait", milliseconds(15), milliseconds(20), false},
+        wait_case{"may_wait", milliseconds(900), milliseconds(0), false}),
+    [](const auto& tested) { return tested.param.name; });
+
+// Guards against a session that is closed while one of its tasks runs.
+TEST(agent_core_test, RetiringSessionFinishesItsRunsAndTakesNoMore) {
+  core_rig rig;
+  rig.Send({Order(1), Order(2)});
+  rig.core.SetRetiring(kEntry, true);
+  EXPECT_TRUE(rig.core.StatusFor(kEntry).draining);
+  EXPECT_FALSE(rig.core.Status().draining);
+  rig.Send({Order(3)});
+  EXPECT_FALSE(rig.core.IsIdle(kEntry));
+  const auto refused = rig.Results();
+  ASSERT_EQ(refused.size(), 2U);
+  EXPECT_EQ(refused.front().reason, not_run_reason::kDraining);
+  EXPECT_EQ(refused.back().reason, not_run_reason::kDraining);
+  ASSERT_EQ(rig.host.calls.size(), 1U);
+  rig.core.OnResult(rig.host.calls.front().id, {});
+  rig.core.OnSlotFree(rig.host.calls.front().id);
+  EXPECT_FALSE(rig.core.IsIdle(kEntry));
+  const std::vector<start_number> numbers{{1}, {2}, {3}};
+  rig.Results();
+  rig.core.Session(kEntry).Acknowledge(numbers);
+  EXPECT_TRUE(rig.core.IsIdle(kEntry));
+}
+
 // Guards against starts in a data centre that is out, also when the batch has
 // the newest configuration revision.
 TEST(agent_core_test, RefusesInDataCentreThatIsOut) {
--- a/tests/unit/http/fake_ports.h
+++ b/tests/unit/http/fake_ports.h
@@ -29,7 +29,7 @@
     offered.push_back(std::move(config));
   }
   void ConfirmConfig() override {}
-  void SetEntryAddresses(std::vector<std::string>) override {}
+  void SetEntries(std::vector<entry_endpoint>) override {}
   void SetTeamShares(std::map<std::string, double>) override {}
   void OnNewerConfig(std::function<void(shared_config)> listener) override {
     on_newer = std::move(listener);
--- a/tests/unit/membership_test.cc
+++ b/tests/unit/membership_test.cc
@@ -22,6 +22,8 @@
           incarnation{1},
           "127.0.0.1:" + id,
           "127.0.0.1:9" + id,
+          "east",
+          250,
           config_revision{3},
           2,
           1,
--- a/tests/unit/placement_test.cc
+++ b/tests/unit/placement_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
 #include <vector>
 
 namespace jayrill {
@@ -23,6 +24,27 @@
   return view;
 }
 
+// Guards against the pattern of a large fleet: many entries, each with the same
+// outdated view of the minions, that all send their next task to the same one.
+TEST(shared_view_test, EntriesWithTheSameViewSpreadTheirTasks) {
+  constexpr int kEntries = 55;
+  constexpr std::size_t kMinions = 40;
+  std::vector<minion_view> minions;
+  for (std::size_t i = 0; i < kMinions; ++i) {
+    minions.push_back(Minion(0, 1.3 + 0.002 * static_cast<double>(i)));
+  }
+  std::vector<int> starts(kMinions);
+  for (int entry = 0; entry < kEntries; ++entry) {
+    auto strategy = MakePlacementStrategy(
+        "jayrill", random_source(static_cast<std::uint64_t>(entry) + 1));
+    const auto choice =
+        (*strategy)->Choose({milliseconds(60), milliseconds(150)}, minions);
+    ASSERT_TRUE(choice.has_value());
+    ++starts[*choice];
+  }
+  EXPECT_LE(*std::max_element(starts.begin(), starts.end()), 6);
+}
+
 struct choice_case {
   const char* name;
   std::vector<minion_view> minions;
@@ -247,13 +269,34 @@
   EXPECT_EQ(starts(), 2);
 }
 
-// Guards against sending the full load to a minion that has just returned.
-TEST(slow_start_test, GrowsFromOneToAllSlots) {
-  const steady_time since{};
-  EXPECT_EQ(SlowStartLimit(since, since, 8), 1U);
-  EXPECT_EQ(SlowStartLimit(since, since + kSlowStartTime / 2, 8), 4U);
-  EXPECT_EQ(SlowStartLimit(since, since + kSlowStartTime * 3, 8), 8U);
+struct slow_start_case {
+  const char* name;
+  milliseconds duration;
+  milliseconds since;
+  std::uint32_t expected;
+};
+
+class slow_start_test : public testing::TestWithParam<slow_start_case> {};
+
+// Guards against a minion that gets all of its share at once, or that stays
+// slow for another time than the setting says.
+TEST_P(slow_start_test, GrowsFromOneToAllSlots) {
+  const steady_time joined{std::chrono::seconds(100)};
+  EXPECT_EQ(
+      SlowStartLimit(joined, joined + GetParam().since, 8, GetParam().duration),
+      GetParam().expected);
 }
 
+INSTANTIATE_TEST_SUITE_P(
+    Cases,
+    slow_start_test,
+    testing::Values(
+        slow_start_case{"begin", kSlowStartTime, milliseconds(0), 1},
+        slow_start_case{"half", kSlowStartTime, milliseconds(2500), 4},
+        slow_start_case{"end", kSlowStartTime, milliseconds(15'000), 8},
+        slow_start_case{"longer", milliseconds(20'000), milliseconds(5000), 2},
+        slow_start_case{"none", milliseconds(0), milliseconds(0), 8}),
+    [](const auto& tested) { return tested.param.name; });
+
 }  // namespace
 }  // namespace jayrill
