--- a/tests/platform/kv_store_test.cc
+++ b/tests/platform/kv_store_test.cc
@@ -115,9 +115,9 @@
   EXPECT_TRUE(WaitFor([&] { return seen.progress == standin_->revision(); }));
 }
 
-// Guards against an answer that cannot be read and so looks like an empty store:
-// a withdrawn key would be in use again, and a record that exists would be taken
-// as absent.
+// Guards against an answer that cannot be read and so looks like an empty
+// store: a withdrawn key would be in use again, and a record that exists would
+// be taken as absent.
 TEST_F(kv_store_test, AnUnreadableAnswerIsNoAbsence) {
   ASSERT_TRUE(Swap("op/a", 0, "1"));
   watch_recorder seen;
--- a/tests/platform/platform_store_standin.h
+++ b/tests/platform/platform_store_standin.h
@@ -82,7 +82,8 @@
   }
 
   static response Unreadable() {
-    return response(QByteArrayLiteral("text/plain"), QByteArrayLiteral("{\"it"));
+    return response(QByteArrayLiteral("text/plain"),
+                    QByteArrayLiteral("{\"it"));
   }
 
   response Key(const QHttpServerRequest& request) {
