Give back starts whose wait was underestimated, and report less often

An agent took an overdue run for one that is about to end, and let starts wait behind it until the deadline; an entry went on believing in a load that a report of long ago had named.

Change: the rest of an overdue run is estimated from how long it is overdue; a start that has waited for twice its max_wait is given back; a task that was given back four times may wait 100 ms and not until its deadline; a reported load counts in full for 200 ms and then decays. Status reports are limited to 400 a second for each core of an entry, as results and returned starts bring the load too, and an entry counts its connected agents only where their number matters (8 % of its time in a profile).

--- a/src/jayrill/agent/agent_core.cc
+++ b/src/jayrill/agent/agent_core.cc
@@ -12,6 +12,15 @@
 
 namespace {
 
+/// An overdue run is assumed to go on for this fraction of the time by which it
+/// is overdue. Without it, a minion that has turned slow would look as if it
+/// were about to be free.
+constexpr double kOverdueFraction = 0.5;
+
+/// A start that may wait for some time is given back when it has waited for
+/// this multiple of it, because the estimate was wrong.
+constexpr int kMaxWaitExcess = 2;
+
 std::chrono::microseconds Micros(steady_duration duration) {
   return std::chrono::duration_cast<std::chrono::microseconds>(duration);
 }
@@ -492,19 +501,33 @@
     return {};
   }
   // Each start that waits already takes the place of one run that ends.
-  std::vector<steady_time> ends;
-  ends.reserve(running_.size());
+  const steady_time now = time_.Now();
+  std::vector<steady_duration> remaining;
+  remaining.reserve(running_.size());
   for (const auto& [call, run] : running_) {
-    ends.push_back(run.expected_end);
+    const steady_duration left = run.expected_end - now;
+    remaining.push_back(left >= steady_duration::zero()
+                            ? left
+                            : std::chrono::duration_cast<steady_duration>(
+                                  -left * kOverdueFraction));
   }
-  if (queue_.waiting() >= ends.size()) {
+  if (queue_.waiting() >= remaining.size()) {
     return std::chrono::milliseconds::max();
   }
   const auto next =
-      ends.begin() + static_cast<std::ptrdiff_t>(queue_.waiting());
-  std::nth_element(ends.begin(), next, ends.end());
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-      std::max(*next - time_.Now(), steady_duration::zero()));
+      remaining.begin() + static_cast<std::ptrdiff_t>(queue_.waiting());
+  std::nth_element(remaining.begin(), next, remaining.end());
+  return std::chrono::duration_cast<std::chrono::milliseconds>(*next);
+}
+
+void agent_core::GiveBackLateStarts() {
+  const steady_time now = time_.Now();
+  RefuseWaiting(
+      [now](const queued_start& start) {
+        return start.order.max_wait.count() > 0 &&
+               now - start.arrived > kMaxWaitExcess * start.order.max_wait;
+      },
+      {not_run_reason::kBusy, "the minion stayed busy"});
 }
 
 minion_status agent_core::StatusFor(incarnation entry) const {
--- a/src/jayrill/agent/agent_core.h
+++ b/src/jayrill/agent/agent_core.h
@@ -24,6 +24,9 @@
 
 namespace jayrill {
 
+/// Interval at which waiting starts are checked for their max_wait.
+inline constexpr std::chrono::milliseconds kWaitCheckInterval{20};
+
 /// A batch of starts as it arrived from an entry.
 struct start_batch {
   config_revision revision;  ///< Configuration that the entry used.
@@ -111,6 +114,13 @@
   /// Frees the slot of \p call and starts waiting starts.
   void OnSlotFree(std::uint64_t call);
 
+  /// Gives back the starts that have waited for much longer than they may. Must
+  /// be called every kWaitCheckInterval while starts wait.
+  void GiveBackLateStarts();
+
+  /// \returns true when starts wait for a slot.
+  bool HasWaitingStarts() const { return queue_.waiting() > 0; }
+
   /// Applies all time limits. Must be called every kPauseTick.
   void Tick();
 
--- a/src/jayrill/agent/entry_link.cc
+++ b/src/jayrill/agent/entry_link.cc
@@ -308,6 +308,8 @@
   if (!handshake_done_ || retiring == retiring_) {
     return;
   }
+  LOG(INFO) << "rpc: " << (retiring ? "leaving" : "keeping") << " entry "
+            << address_ << " " << ToString(entry_);
   retiring_ = retiring;
   retirement_acknowledged_ = false;
   context_.core.SetRetiring(entry_, retiring);
--- a/src/jayrill/agent/internal/agent_loop.cc
+++ b/src/jayrill/agent/internal/agent_loop.cc
@@ -91,7 +91,22 @@
   }
 }
 
+void agent_loop::ScheduleWaitCheck() {
+  if (wait_check_scheduled_ || !core_.HasWaitingStarts()) {
+    return;
+  }
+  wait_check_scheduled_ = true;
+  tasks_.add(io_.provider->getTimer()
+                 .afterDelay(kWaitCheckInterval.count() * kj::MILLISECONDS)
+                 .then([this] {
+                   wait_check_scheduled_ = false;
+                   core_.GiveBackLateStarts();
+                   ScheduleWaitCheck();
+                 }));
+}
+
 void agent_loop::StatusChanged() {
+  ScheduleWaitCheck();
   const auto interval =
       StatusInterval(settings_.status_interval, connected_links());
   for (const auto& [address, link] : links_) {
--- a/src/jayrill/agent/internal/agent_loop.h
+++ b/src/jayrill/agent/internal/agent_loop.h
@@ -68,6 +68,8 @@
   /// stop.
   void FinishStop();
   void ScheduleLinkUpdate();
+  /// Makes the core check its waiting starts after kWaitCheckInterval.
+  void ScheduleWaitCheck();
   /// \returns the addresses of the entries to connect to: those that
   /// SelectEntries chooses of the listed ones, and the entries from the
   /// settings while there are few entries or none is connected.
@@ -95,6 +97,7 @@
   std::set<std::string> closed_links_;   ///< Those whose goodbye was answered.
   std::size_t links_at_last_tick_ = 0;   ///< How many were connected.
   bool link_update_scheduled_ = false;
+  bool wait_check_scheduled_ = false;
   std::optional<steady_time> stop_started_at_;
   bool saying_goodbye_ = false;
   kj::Promise<void> end_promise_ = nullptr;
--- a/src/jayrill/entry/agent_session.cc
+++ b/src/jayrill/entry/agent_session.cc
@@ -30,6 +30,12 @@
 /// that time, and each placement pass asks for the slowness of every minion.
 constexpr std::chrono::milliseconds kSlownessCacheTime{100};
 
+/// Age up to which a reported load counts in full, and the time in which it
+/// then falls to 1/e. A start that meets a busy minion after all comes back at
+/// once, so an old report must not keep work from a minion that may be free.
+constexpr std::chrono::milliseconds kLoadTrustTime{200};
+constexpr std::chrono::milliseconds kLoadDecayTime{800};
+
 /// An overdue task is assumed to run on for this fraction of the time by which
 /// it is overdue.
 constexpr double kOverdueFraction = 0.25;
@@ -130,9 +136,17 @@
   other_entries_load_ = static_cast<std::uint32_t>(std::min<std::uint64_t>(
       reported_load > own_starts ? reported_load - own_starts : 0, 1U << 30U));
   other_entries_use_ = status.used - own_use_;
+  status_at_ = now;
   reported_free_at_ = now + status.time_until_free;
 }
 
+double agent_session::LoadLeft(steady_time now) const {
+  const std::chrono::duration<double> excess =
+      now - status_at_ - kLoadTrustTime;
+  const std::chrono::duration<double> decay_time = kLoadDecayTime;
+  return std::exp(-std::max(excess / decay_time, 0.0));
+}
+
 void agent_session::ApplyConfig(const cluster_config& config, steady_time now) {
   const bool in_service = !config.IsOut(hello_.data_centre);
   if (in_service && !in_service_) {
@@ -249,9 +263,11 @@
   view.id = handle_.value;
   view.slots = hello_.status.slots;
   view.outstanding = static_cast<std::uint32_t>(window_.outstanding());
-  view.other_load = other_entries_load_;
+  const double load_left = LoadLeft(now);
+  view.other_load =
+      static_cast<std::uint32_t>(std::lround(other_entries_load_ * load_left));
   view.room = hello_.status.room;
-  view.used = own_use_ + other_entries_use_;
+  view.used = own_use_ + other_entries_use_.Scaled(load_left);
   view.slowness = Slowness(now);
   view.last_start = last_start_;
   switch (health_.Permission(now)) {
--- a/src/jayrill/entry/agent_session.h
+++ b/src/jayrill/entry/agent_session.h
@@ -149,6 +149,10 @@
   void ConfirmConfig() { expected_push_ = 0; }
 
  private:
+  /// \returns the part of the load of other entries that is assumed to be left
+  /// at \p now.
+  double LoadLeft(steady_time now) const;
+
   /// \returns the time until a slot is expected to become free.
   std::chrono::microseconds TimeUntilFree(steady_time now) const;
 
@@ -198,6 +202,7 @@
   steady_time outstanding_since_;  ///< Since when starts are outstanding.
   steady_time disconnected_since_;
   steady_time backoff_until_;  ///< No starts are sent before.
+  steady_time status_at_;      ///< When the latest status has arrived.
   /// When a slot becomes free, by the agent's latest report.
   steady_time reported_free_at_;
 };
--- a/src/jayrill/entry/dispatcher.h
+++ b/src/jayrill/entry/dispatcher.h
@@ -115,8 +115,11 @@
   /// \returns true when the entry is ready for jobs: it has a configuration,
   /// the wait for agents is over and enough of them are connected.
   bool IsReady() const {
+    // Called once a turn of the event loop, so the agents are counted only when
+    // their number matters.
     return config_ != nullptr && HasWaitedForAgents() &&
-           agents_.connected() >= limits_.ready_agents;
+           (limits_.ready_agents == 0 ||
+            agents_.connected() >= limits_.ready_agents);
   }
 
   /// \returns true when the entry may have missed a change of the configuration
--- a/src/jayrill/entry/dispatcher_sending.cc
+++ b/src/jayrill/entry/dispatcher_sending.cc
@@ -13,9 +13,10 @@
 /// date.
 constexpr std::chrono::milliseconds kMaxAgentWaitTime{20};
 
-/// After this many returns a task may wait at the next agent. All minions are
-/// busy then, and further returns would only cost messages.
-constexpr std::uint32_t kMaxReturns = 4;
+/// After kManyReturns all minions are busy, and further returns would only cost
+/// messages. The task may then wait for longer.
+constexpr std::uint32_t kManyReturns = 4;
+constexpr std::chrono::milliseconds kLongAgentWaitTime{100};
 
 }  // namespace
 
@@ -210,8 +211,9 @@
   request.attempt = record.starts;
   request.needs = spec.needs;
   request.expected_run = std::chrono::ceil<std::chrono::milliseconds>(expected);
-  if (!placer_.BindsEarly() && record.returns < kMaxReturns) {
-    request.max_wait = kMaxAgentWaitTime;
+  if (!placer_.BindsEarly()) {
+    request.max_wait =
+        record.returns < kManyReturns ? kMaxAgentWaitTime : kLongAgentWaitTime;
   }
   request.remaining =
       std::chrono::floor<std::chrono::milliseconds>(job.deadline - now);
--- a/src/jayrill/entry/heartbeat.h
+++ b/src/jayrill/entry/heartbeat.h
@@ -31,15 +31,17 @@
 
 /// Limit of the reports without results per second that an entry gets from all
 /// agents together, for each core that it may use. One report costs about
-/// 0.1 ms, so they use at most a tenth of the processor time of the entry.
-inline constexpr double kStatusReportsPerCore = 1000;
+/// 0.1 ms, so they use at most 4 % of the processor time of the entry. Results
+/// and returned starts bring the load of a minion as well, so the minions that
+/// an entry works with are known better than by these reports alone.
+inline constexpr double kStatusReportsPerCoreAndSecond = 400;
 
 /// \returns the shortest time between two reports without results of one
 /// agent, for an entry with \p sessions that may use \p cores.
 inline std::chrono::milliseconds StatusReportInterval(std::size_t sessions,
                                                       double cores) {
   const double seconds =
-      static_cast<double>(sessions) / (kStatusReportsPerCore * cores);
+      static_cast<double>(sessions) / (kStatusReportsPerCoreAndSecond * cores);
   return std::chrono::ceil<std::chrono::milliseconds>(
       std::chrono::duration<double>(seconds));
 }
--- a/src/jayrill/job/resource_amount.h
+++ b/src/jayrill/job/resource_amount.h
@@ -34,6 +34,14 @@
     return *this;
   }
 
+  /// \returns each amount multiplied by \p factor, which is not negative.
+  resource_amount Scaled(double factor) const {
+    const auto scale = [factor](std::uint32_t amount) {
+      return static_cast<std::uint32_t>(amount * factor);
+    };
+    return {scale(cpu_millis), scale(memory_mb), scale(accelerators)};
+  }
+
   friend resource_amount operator+(resource_amount left,
                                    const resource_amount& right) {
     return left += right;
