Ignore a notice of leaving from an earlier instance

Cause: any DELETE of an instance told the agent that its minion leaves. A notice that a partition held back took the successor at the same address out of use until its next heartbeat after the time to live.

Ruled out: late heartbeats; they were compared with the newest one.

Change: instance_filter remembers the newest instance; a notice of another one is acknowledged, logged and ignored.

Test: instance_filter_test. The part was extracted with the fix, so the test was not run against the code before.

--- a/tests/platform/platform_format_test.cc
+++ b/tests/platform/platform_format_test.cc
@@ -223,6 +223,27 @@
         bad_heartbeat{"unreadable", R"({"service")", "\xff\xfe"}),
     [](const auto& param) { return param.param.name; });
 
+// Guards against a notice of leaving, or a heartbeat, that a partition has held
+// back and that would take its successor at the same address out of use.
+TEST(instance_filter_test, IgnoresWhatAnEarlierMinionSentLate) {
+  instance_heartbeat first;
+  first.minion.instance = "i-1";
+  first.minion.life = 10;
+  first.sequence = 9;
+  instance_heartbeat second;
+  second.minion.instance = "i-2";
+  second.minion.life = 20;
+  second.sequence = 1;
+  instance_filter filter;
+  EXPECT_TRUE(filter.IsNewest("i-1"));
+  EXPECT_TRUE(filter.AcceptUnlessOlder(first));
+  EXPECT_TRUE(filter.IsNewest("i-1"));
+  EXPECT_TRUE(filter.AcceptUnlessOlder(second));
+  EXPECT_FALSE(filter.AcceptUnlessOlder(first));
+  EXPECT_FALSE(filter.IsNewest("i-1"));
+  EXPECT_TRUE(filter.IsNewest("i-2"));
+}
+
 // Guards against a run that jayrill has not started being taken for one of its
 // own, and against a malformed row that hides the others.
 TEST(run_report_test, ReadsBothListsAndSkipsWhatItCannotRead) {
