Tell refused callers to return at different times

Cause: every refusal named the same Retry-After of 1 s, so the callers of a flash crowd that were refused together came back together.

Change: a refusal for overload names 1, 2 or 3 s in turn. Other refusals keep 1 s.

--- a/src/jayrill/entry/dispatcher_jobs.cc
+++ b/src/jayrill/entry/dispatcher_jobs.cc
@@ -33,6 +33,15 @@
 /// answer reaches the caller while it still waits.
 constexpr std::chrono::milliseconds kAnswerMargin{60};
 
+/// Code of the refusal of a job whose tasks would wait too long.
+constexpr char kOverloadedCode[] = "overloaded";
+
+/// Callers that are refused together because of an overload are told to return
+/// at times that differ by these steps. If all came back at once, they would
+/// meet the same overload.
+constexpr std::chrono::seconds kRetryStep{1};
+constexpr std::uint64_t kRetrySteps = 3;
+
 std::chrono::microseconds Scale(std::chrono::microseconds time, double factor) {
   return std::chrono::microseconds(
       static_cast<std::int64_t>(static_cast<double>(time.count()) * factor));
@@ -207,7 +216,7 @@
       HasFreeMinion(pool, spec.tasks.front().needs)) {
     return std::nullopt;
   }
-  return refusal{"overloaded",
+  return refusal{kOverloadedCode,
                  "tasks of this profile wait for " +
                      std::to_string(delay.count() / 1000) +
                      " ms at present, too long for the objective",
@@ -241,8 +250,12 @@
 }
 
 void dispatcher::Refuse(job_id id, const refusal& reason) {
-  ReportOutcome(id, MakeJobFailure(job_effect::kNotRun, reason.code,
-                                   reason.message, reason.remedy));
+  job_failure failure{job_effect::kNotRun, reason.code, reason.message,
+                      reason.remedy, reason.retry_after};
+  if (reason.code == kOverloadedCode) {
+    failure.retry_after += kRetryStep * (id.sequence % kRetrySteps);
+  }
+  ReportOutcome(id, tl::unexpected(std::move(failure)));
 }
 
 void dispatcher::Cancel(job_id id) {
--- a/src/jayrill/entry/refusal.h
+++ b/src/jayrill/entry/refusal.h
@@ -1,6 +1,7 @@
 #ifndef JAYRILL_ENTRY_REFUSAL_H_
 #define JAYRILL_ENTRY_REFUSAL_H_
 
+#include <chrono>
 #include <compare>
 #include <string>
 
@@ -11,6 +12,8 @@
   std::string code;
   std::string message;
   std::string remedy;
+  /// Time after which the job may be submitted again.
+  std::chrono::milliseconds retry_after{1000};
 
   auto operator<=>(const refusal&) const = default;
 };
