--- a/src/jayrill/agent/internal/agent_loop.cc
+++ b/src/jayrill/agent/internal/agent_loop.cc
@@ -144,12 +144,12 @@
   if (!listed.empty()) {
     known_entries_ = std::move(listed);
   }
-  std::map<std::string, entry_endpoint> candidates = known_entries_;
   const bool seeds_needed =
       connected_links() == 0 ||
-      candidates.size() + settings_.entries.size() <= settings_.entry_limit;
+      known_entries_.size() + settings_.entries.size() <= settings_.entry_limit;
   std::vector<entry_endpoint> entries;
-  for (const auto& [address, entry] : candidates) {
+  entries.reserve(known_entries_.size());
+  for (const auto& [address, entry] : known_entries_) {
     entries.push_back(entry);
   }
   std::set<std::string> wanted = SelectEntries(
--- a/src/jayrill/entry/entry_process.cc
+++ b/src/jayrill/entry/entry_process.cc
@@ -294,6 +294,7 @@
     by_address.emplace(entry.rpc_address, EndpointOf(entry));
   }
   std::vector<entry_endpoint> endpoints;
+  endpoints.reserve(by_address.size());
   for (const auto& [address, endpoint] : by_address) {
     endpoints.push_back(endpoint);
   }
