--- a/src/jayrill/placement/placement_strategy.cc
+++ b/src/jayrill/placement/placement_strategy.cc
@@ -84,12 +84,11 @@
 /// Late binding, in this order:
 /// 1. A minion that is due for a trial gets the next task. Otherwise it would
 ///    get none as long as a faster minion has a free slot.
-/// 2. A task with slack goes to one of the slowest minions that have a free
-/// slot
-///    and are expected to finish it in time, so that fast slots stay free for
-///    the tasks that determine when a job ends. Of similar minions, the less
-///    loaded of two random ones is taken: entries that know the same of the
-///    minions would otherwise all send to the same one.
+/// 2. A task with slack goes to one of the slowest free minions that are
+///    expected to finish it in time, so that fast slots stay free for the tasks
+///    that determine when a job ends. Of similar minions, the less loaded of
+///    two random ones is taken: entries that know the same of the minions would
+///    otherwise all send to the same one.
 /// 3. Any other task goes to the minion with the earliest expected finish. The
 ///    task waits for a busy fast minion when that is expected to finish sooner
 ///    than a free slow one.
