Scale the timeouts of tests with sanitizers

Cause: four property tests (run queue, arrivals, claims) reached 120 s under the address sanitizer. run_queue_property takes 0.7 s without the option detect_stack_use_after_return=1 and 123.8 s with it, alone on a nearly idle machine; the code of before this work, built the same way, takes 0.7 s and over 30 s (ended there). So the option is slow on this machine, and load or the change are not the cause. The option stays.

--- a/cmake/jayrill_targets.cmake
+++ b/cmake/jayrill_targets.cmake
@@ -19,7 +19,9 @@
 
 # jayrill_test(NAME SOURCES ... DEPENDS ... [LABELS ...] [TIMEOUT SECONDS])
 # Adds a GoogleTest program. ctest runs each of its cases as a test of its own.
-# The defaults are the label unit and a timeout of 120 seconds.
+# The defaults are the label unit and a timeout of 120 seconds. With sanitizers
+# timeouts are ten times as long: on some machines the address sanitizer's check
+# for use after return slows property tests down by more than a hundred times.
 function(jayrill_test name)
   cmake_parse_arguments(ARG "" "TIMEOUT" "SOURCES;DEPENDS;LABELS" ${ARGN})
   # The thread sanitizer reports false races in these programs, because Qt is not
@@ -37,6 +39,9 @@
   if(NOT ARG_TIMEOUT)
     set(ARG_TIMEOUT 120)
   endif()
+  if(JAYRILL_SANITIZE)
+    math(EXPR ARG_TIMEOUT "${ARG_TIMEOUT} * 10")
+  endif()
   # The default timeout of 5 s for listing the cases is too short for a program
   # with sanitizers on a busy machine. Without NO_PRETTY_VALUES the name of a
   # parameterized case contains the bytes of its parameter, which differ from run
