--- a/tools/sanitizer_tests.sh
+++ b/tools/sanitizer_tests.sh
@@ -35,8 +35,8 @@
     --output-junit tests.xml || failed=1
 }
 
-# The check for use after return collects the frames of the whole fake stack after
-# each exception, so property tests run ten times faster with a small one.
+# The check for use after return slows property tests down by the size of its fake
+# stack, so the smallest one is set.
 export ASAN_OPTIONS=detect_stack_use_after_return=1:max_uar_stack_size_log=16
 export UBSAN_OPTIONS=halt_on_error=1:print_stacktrace=1
 export TSAN_OPTIONS="suppressions=$PWD/tools/tsan.supp halt_on_error=1"
