Ask for the body only after the whole header

Cause: http_framer::expects_continue() was true as soon as the Expect field had been read. When the header arrived in parts, a caller was told to send the body before a later field could refuse the request.

Change: it is true only once the header is complete.

Ruled out: a check in guarded_socket, which would know less of the header.

Test: AsksForTheBodyAfterTheWholeHeader failed before (Actual: true, Expected: false) and passes now; all 34 cases of http_guard_test pass.

--- a/src/jayrill/entry/http_framer.h
+++ b/src/jayrill/entry/http_framer.h
@@ -45,9 +45,11 @@
   /// contains all of it, else 0.
   std::size_t CompleteSize(std::size_t buffer_size) const;
 
-  /// \returns true when a header field that has been read asks for
-  /// `100 Continue` before the body.
-  bool expects_continue() const { return expects_continue_; }
+  /// \returns true when the header is complete and asks for `100 Continue`
+  /// before the body.
+  bool expects_continue() const {
+    return header_size_ > 0 && expects_continue_;
+  }
 
   /// \returns true when the connection may be used for another request.
   bool keep_alive() const { return keep_alive_; }
--- a/tests/unit/http/http_guard_test.cc
+++ b/tests/unit/http/http_guard_test.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "http_test_support.h"
+#include "jayrill/entry/http_framer.h"
 
 namespace jayrill {
 namespace {
@@ -197,6 +198,18 @@
   EXPECT_TRUE(client.WaitFor("<body>"));
 }
 
+// Guards against a caller that is told to send the body of a request that a
+// later header field refuses, and whose body then counts as the next request.
+TEST(http_guard_test, AsksForTheBodyAfterTheWholeHeader) {
+  http_framer framer(1000, 1000);
+  std::string request = "POST /echo HTTP/1.1\r\nExpect: 100-continue\r\n";
+  ASSERT_FALSE(framer.Examine(request).has_value());
+  EXPECT_FALSE(framer.expects_continue());
+  request += "Content-Length: 6\r\n\r\n";
+  ASSERT_FALSE(framer.Examine(request).has_value());
+  EXPECT_TRUE(framer.expects_continue());
+}
+
 // Guards against a path without a route that gets no JSON error.
 TEST(http_guard_test, AnswersUnknownPaths) {
   test_server server;
