Report the slowness of a minion from the runs of all entries

Cause: in a large fleet an entry has few runs on each minion (about 1.6 a second), so an entry learned only after seconds that a minion had turned slow, while the agent sees twelve times as many runs.

Change: a start carries the run time on the average minion. The agent compares the runs of all entries with it, overdue ones included (run_pace), and reports the slowness with its status.

--- a/src/jayrill/agent/agent_core.cc
+++ b/src/jayrill/agent/agent_core.cc
@@ -52,6 +52,9 @@
               << " cpu_millis=" << minion.room.cpu_millis
               << " draining=" << minion.draining;
   }
+  if (!is_same_minion) {
+    pace_ = {};
+  }
   minion_ = minion;
   if (minion_->draining) {
     RefuseWaiting([](const queued_start&) { return true; },
@@ -261,6 +264,7 @@
                     start.arrived,
                     now,
                     now + start.order.expected_run,
+                    start.order.typical_run,
                     {},
                     start.order.needs,
                     false};
@@ -276,6 +280,9 @@
   }
   running_call& run = found->second;
   run.run_time = outcome.run_time;
+  if (outcome.outcome == task_outcome::kSucceeded) {
+    pace_.OnRunEnded(outcome.run_time, run.typical_run, time_.Now());
+  }
   if (sessions_[run.entry].generation() != run.generation) {
     // The entry has closed the session that the start belongs to.
     ++counters_.dropped_results;
@@ -520,6 +527,19 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(*next);
 }
 
+std::uint32_t agent_core::SlownessPercent() const {
+  const steady_time now = time_.Now();
+  std::vector<run_pace::unfinished_run> unfinished;
+  unfinished.reserve(running_.size());
+  for (const auto& [call, run] : running_) {
+    if (run.run_time.count() == 0) {
+      unfinished.push_back({Micros(now - run.released), run.typical_run});
+    }
+  }
+  const auto slowness = pace_.Slowness(now, unfinished);
+  return slowness ? RoundedPercent(*slowness) : 0;
+}
+
 void agent_core::GiveBackLateStarts() {
   const steady_time now = time_.Now();
   RefuseWaiting(
@@ -554,6 +574,7 @@
     status.room = minion_->room;
     status.used = queue_.used();
     status.warm_up_remaining = minion_->warm_up_remaining;
+    status.slowness_percent = SlownessPercent();
   }
   return status;
 }
--- a/src/jayrill/agent/agent_core.h
+++ b/src/jayrill/agent/agent_core.h
@@ -15,6 +15,7 @@
 #include "jayrill/agent/config_copy.h"
 #include "jayrill/agent/entry_session.h"
 #include "jayrill/agent/minion_departure.h"
+#include "jayrill/agent/run_pace.h"
 #include "jayrill/agent/run_queue.h"
 #include "jayrill/agent/task_call.h"
 #include "jayrill/base/clock.h"
@@ -160,6 +161,7 @@
     steady_time arrived;
     steady_time released;
     steady_time expected_end;
+    std::chrono::milliseconds typical_run{};
     std::chrono::microseconds run_time{};
     resource_amount needs;
     bool stopped = false;  ///< Was stopped because its entry was silent.
@@ -175,6 +177,10 @@
   /// \returns how long a start with \p needs that arrives now is expected to
   /// wait for a slot and for its resources.
   std::chrono::milliseconds ExpectedWait(const resource_amount& needs) const;
+
+  /// \returns the slowness of the minion in percent for its status, or 0 when
+  /// it is not known.
+  std::uint32_t SlownessPercent() const;
   std::uint32_t slots() const;
   resource_amount room() const;
 
@@ -206,6 +212,7 @@
   host& host_;
   pause_detector pause_;
   run_queue queue_;
+  run_pace pace_;
   std::map<incarnation, entry_session> sessions_;
   std::map<std::uint64_t, running_call> running_;
   std::uint64_t last_call_ = 0;
--- a/src/jayrill/entry/agent_session.cc
+++ b/src/jayrill/entry/agent_session.cc
@@ -23,9 +23,18 @@
 /// A minion that announces more slots is treated as having this many.
 constexpr std::uint32_t kMaxSlots = 4096;
 
+/// A minion that reports a higher slowness is treated as having this one.
+constexpr std::uint32_t kMaxSlownessPercent = 10'000;
+
 /// Time in which the weight of a learned slowness falls to 1/e.
 constexpr std::chrono::seconds kSlownessDecayTime{10};
 
+/// The slowness that the agent reports is used in place of the learned one when
+/// they differ by more than this factor. The learned one fits better to the
+/// learned run times of kinds; the reported one is based on the runs of all
+/// entries and follows a change earlier.
+constexpr double kContradictingSlowness = 1.4;
+
 /// Time for which a computed slowness is reused. It changes by less than 1 % in
 /// that time, and each placement pass asks for the slowness of every minion.
 constexpr std::chrono::milliseconds kSlownessCacheTime{100};
@@ -45,6 +54,12 @@
 /// a task of several seconds as soon as that task is slightly overdue.
 constexpr double kMinRemainingFraction = 0.1;
 
+/// \returns \p slowness, which was learned \p age ago, decayed towards 1.
+double Decayed(double slowness, std::chrono::duration<double> age) {
+  const std::chrono::duration<double> decay_time = kSlownessDecayTime;
+  return std::pow(slowness, std::exp(-age / decay_time));
+}
+
 }  // namespace
 
 std::optional<agent_session::connect_effect> agent_session::Connect(
@@ -124,12 +139,17 @@
     joined_ = now;
     backoff_until_ = now;
   }
+  if (before.slowness_percent != status.slowness_percent) {
+    cached_slowness_.reset();
+  }
   // The acknowledgement of a configuration may overtake an older report, so the
   // revision must not go back.
   const config_revision revision = std::max(before.revision, status.revision);
   hello_.status = status;
   hello_.status.revision = revision;
   hello_.status.slots = std::min(status.slots, kMaxSlots);
+  hello_.status.slowness_percent =
+      std::min(status.slowness_percent, kMaxSlownessPercent);
   const std::uint64_t reported_load =
       std::uint64_t{status.busy} + status.queued;
   const std::uint64_t own_starts = window_.outstanding();
@@ -295,13 +315,24 @@
 double agent_session::Slowness(steady_time now) const {
   if (!cached_slowness_ ||
       now - cached_slowness_->computed_at > kSlownessCacheTime) {
-    const std::chrono::duration<double> age = now - slowness_learned_at_;
-    const std::chrono::duration<double> decay_time = kSlownessDecayTime;
-    cached_slowness_ = {std::pow(slowness_, std::exp(-age / decay_time)), now};
+    cached_slowness_ = {CurrentSlowness(now), now};
   }
   return cached_slowness_->value;
 }
 
+double agent_session::CurrentSlowness(steady_time now) const {
+  const double learned = Decayed(slowness_, now - slowness_learned_at_);
+  if (hello_.status.slowness_percent == 0) {
+    return learned;
+  }
+  const double reported =
+      Decayed(hello_.status.slowness_percent / 100.0, now - status_at_);
+  const double ratio = reported / learned;
+  const bool is_contradicted =
+      ratio > kContradictingSlowness || ratio * kContradictingSlowness < 1;
+  return is_contradicted ? reported : learned;
+}
+
 std::chrono::microseconds agent_session::TimeUntilFree(steady_time now) const {
   using std::chrono::microseconds;
   auto earliest = microseconds::max();
--- a/src/jayrill/entry/agent_session.h
+++ b/src/jayrill/entry/agent_session.h
@@ -129,9 +129,9 @@
   }
   steady_time disconnected_since() const { return disconnected_since_; }
 
-  /// \returns the run time of a task relative to the average minion. The
-  /// learned value decays towards 1, so that a minion that was slow once is
-  /// tried again.
+  /// \returns the run time of a task relative to the average minion: the
+  /// learned value, or the reported one when they contradict each other. Both
+  /// decay towards 1, so that a minion that was slow once is tried again.
   double Slowness(steady_time now) const;
   void SetSlowness(double slowness, steady_time now) {
     slowness_ = slowness;
@@ -149,6 +149,8 @@
   void ConfirmConfig() { expected_push_ = 0; }
 
  private:
+  double CurrentSlowness(steady_time now) const;
+
   /// \returns the part of the load of other entries that is assumed to be left
   /// at \p now.
   double LoadLeft(steady_time now) const;
--- a/src/jayrill/entry/dispatcher_sending.cc
+++ b/src/jayrill/entry/dispatcher_sending.cc
@@ -211,6 +211,8 @@
   request.attempt = record.starts;
   request.needs = spec.needs;
   request.expected_run = std::chrono::ceil<std::chrono::milliseconds>(expected);
+  request.typical_run =
+      std::chrono::ceil<std::chrono::milliseconds>(task.run_time);
   if (!placer_.BindsEarly()) {
     request.max_wait =
         record.returns < kManyReturns ? kMaxAgentWaitTime : kLongAgentWaitTime;
--- a/src/jayrill/job/start_request.h
+++ b/src/jayrill/job/start_request.h
@@ -26,6 +26,8 @@
   resource_amount needs;      ///< Resources that it needs besides one slot.
   /// Run time that the entry expects on this minion; 0 when not known.
   std::chrono::milliseconds expected_run{};
+  /// Run time that the entry expects on the average minion; 0 when not known.
+  std::chrono::milliseconds typical_run{};
   /// The agent gives the start back when it expects it to wait for longer; 0:
   /// the start may wait until the deadline.
   std::chrono::milliseconds max_wait{};
--- a/src/jayrill/job/task_result.h
+++ b/src/jayrill/job/task_result.h
@@ -70,6 +70,9 @@
   resource_amount used;  ///< Used by running and waiting starts.
   /// Remaining time for which the minion is slow because it has just started.
   std::chrono::milliseconds warm_up_remaining{};
+  /// Run time in percent of that on the average minion, by the latest runs of
+  /// all entries; 0 when not known.
+  std::uint32_t slowness_percent = 0;
 
   auto operator<=>(const minion_status&) const = default;
 };
--- a/src/jayrill/rpc/codec.cc
+++ b/src/jayrill/rpc/codec.cc
@@ -110,6 +110,7 @@
   wire.setJobName(order.job_name);
   wire.setAttempt(order.attempt);
   wire.setExpectedRunMs(ToWireMillis(order.expected_run));
+  wire.setTypicalRunMs(ToWireMillis(order.typical_run));
   wire.setMaxWaitMs(ToWireMillis(order.max_wait));
   EncodeAmount(order.needs, wire.initNeeds());
 }
@@ -139,6 +140,7 @@
   EncodeAmount(status.room, wire.initRoom());
   EncodeAmount(status.used, wire.initUsed());
   wire.setWarmingUpMs(ToWireMillis(status.warm_up_remaining));
+  wire.setSlownessPercent(status.slowness_percent);
 }
 
 void Encode(const std::vector<entry_endpoint>& entries,
@@ -164,6 +166,7 @@
   order.attempt = wire.getAttempt();
   order.needs = DecodeAmount(wire.getNeeds());
   order.expected_run = std::chrono::milliseconds(wire.getExpectedRunMs());
+  order.typical_run = std::chrono::milliseconds(wire.getTypicalRunMs());
   order.max_wait = std::chrono::milliseconds(wire.getMaxWaitMs());
   return order;
 }
@@ -196,6 +199,7 @@
   status.room = DecodeAmount(wire.getRoom());
   status.used = DecodeAmount(wire.getUsed());
   status.warm_up_remaining = std::chrono::milliseconds(wire.getWarmingUpMs());
+  status.slowness_percent = wire.getSlownessPercent();
   return status;
 }
 
--- a/src/jayrill/rpc/dispatch.capnp
+++ b/src/jayrill/rpc/dispatch.capnp
@@ -110,6 +110,7 @@
   attempt @10 :UInt32;       # of the task, from 1
   needs @11 :ResourceAmount; # resources needed in addition to a slot
   expectedRunMs @12 :UInt32; # on this minion; 0: not known
+  typicalRunMs @14 :UInt32;  # on the average minion; 0: not known
   maxWaitMs @13 :UInt32;     # the agent gives the start back as busy when it
                              # expects it to wait for longer; 0: it may wait
                              # until the deadline
@@ -165,6 +166,9 @@
   room @11 :ResourceAmount;  # total that the tasks of the minion share
   used @12 :ResourceAmount;  # part of it taken by running and waiting starts
   warmingUpMs @13 :UInt32;   # how long the minion will be slow after its start
+  slownessPercent @14 :UInt32;
+  # Run time relative to the average minion, by the runs of all entries in the
+  # last seconds; 0: not known.
 }
 
 struct AgentReport {
--- a/src/jayrill/rpc/dispatch.capnp.h
+++ b/src/jayrill/rpc/dispatch.capnp.h
@@ -2777,6 +2777,8 @@
 
   inline  ::uint32_t getMaxWaitMs() const;
 
+  inline  ::uint32_t getTypicalRunMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2867,6 +2869,9 @@
   inline  ::uint32_t getMaxWaitMs();
   inline void setMaxWaitMs( ::uint32_t value);
 
+  inline  ::uint32_t getTypicalRunMs();
+  inline void setTypicalRunMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3058,6 +3063,8 @@
 
   inline  ::uint32_t getWarmingUpMs() const;
 
+  inline  ::uint32_t getSlownessPercent() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3140,6 +3147,9 @@
   inline  ::uint32_t getWarmingUpMs();
   inline void setWarmingUpMs( ::uint32_t value);
 
+  inline  ::uint32_t getSlownessPercent();
+  inline void setSlownessPercent( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4753,6 +4763,20 @@
       ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Start::Reader::getTypicalRunMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Start::Builder::getTypicalRunMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+inline void Start::Builder::setTypicalRunMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t TaskResult::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -5157,6 +5181,20 @@
       ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t MinionStatus::Reader::getSlownessPercent() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t MinionStatus::Builder::getSlownessPercent() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+inline void MinionStatus::Builder::setSlownessPercent( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool AgentReport::Reader::hasResults() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/tests/entry/fake_agent.h
+++ b/tests/entry/fake_agent.h
@@ -122,6 +122,9 @@
     }
   }
 
+  /// \returns the number of accepted starts that were not executed yet.
+  std::size_t queued_starts() const { return queue_.size(); }
+
   /// Makes the agent give back each start that may not wait for \p wait.
   void SetExpectedWait(std::chrono::milliseconds wait) {
     expected_wait_ = wait;
