Refuse jobs while busy minions give their starts back

Since busy minions give starts back, a task is sent at once, comes back and is sent again; the wait before its first sending, by which jobs are admitted, stays near zero, and the queue of the entry is empty when the next job arrives.

Change: a returned start raises the expected wait of its profile. While at least half of the starts come back, a first sending does not lower it, and neither an empty queue nor a minion that looks free lets a job in.

Conclusion: callers learn at once, and truly, that a job was not run.

--- a/src/jayrill/entry/dispatcher_jobs.cc
+++ b/src/jayrill/entry/dispatcher_jobs.cc
@@ -201,8 +201,9 @@
     const service_pool& pool) const {
   const profile& job_profile = ProfileOf(spec);
   const auto found = start_delays_.find(spec.profile);
+  const bool trusts_view = !pool.AreStartsReturned(time_.Now());
   if (job_profile.slack_factor <= 0 || found == start_delays_.end() ||
-      pool.waiting() == 0) {
+      (trusts_view && pool.waiting() == 0)) {
     return std::nullopt;
   }
   std::chrono::microseconds longest{};
@@ -213,7 +214,7 @@
   const auto delay = found->second.Expected(time_.Now());
   if (delay <= Scale(LatencyObjective(job_profile, longest) - longest,
                      kMaxWaitFraction) ||
-      HasFreeMinion(pool, spec.tasks.front().needs)) {
+      (trusts_view && HasFreeMinion(pool, spec.tasks.front().needs))) {
     return std::nullopt;
   }
   return refusal{kOverloadedCode,
--- a/src/jayrill/entry/dispatcher_results.cc
+++ b/src/jayrill/entry/dispatcher_results.cc
@@ -27,6 +27,9 @@
   if (end.outcome == task_outcome::kNotRun) {
     ++counters_.wasted_messages;
   }
+  if (end.outcome != task_outcome::kNotRun) {
+    agents_.Pool(job->spec.service).OnRun();
+  }
   LearnRunTime(session, *job, end, task.task_index);
   const bool runs_again = MayRunAgain(*job, task.task_index, end);
   if (end.outcome == task_outcome::kFailed) {
@@ -91,7 +94,15 @@
   task_record& task = job.tasks[index];
   const bool is_return = result.outcome == task_outcome::kNotRun &&
                          result.reason == not_run_reason::kBusy;
-  task.returns += is_return ? 1 : 0;
+  if (is_return) {
+    ++task.returns;
+    const steady_time now = time_.Now();
+    agents_.Pool(job.spec.service).OnReturn(now);
+    start_delays_[job.spec.profile].OnReturn(
+        std::chrono::duration_cast<std::chrono::microseconds>(now -
+                                                              job.arrival),
+        now);
+  }
   const std::uint32_t max_starts =
       job.spec.repeatable ? kMaxStartsPerRepeatableTask : kMaxStartsPerTask;
   // The entry receives the newer configuration or the load of the minion with
--- a/src/jayrill/entry/dispatcher_sending.cc
+++ b/src/jayrill/entry/dispatcher_sending.cc
@@ -178,7 +178,11 @@
       session.Send({job.id, task.index}, now, task.run_time, task.needs);
   if (++record.starts == 1) {
     retry_budget_.OnFirstStart();
-    if (!task.is_late) {
+    // While minions give starts back, a start does not show that the wait is
+    // over.
+    const bool ends_wait =
+        !agents_.Pool(job.spec.service).AreStartsReturned(now);
+    if (ends_wait && !task.is_late) {
       start_delays_[job.spec.profile].OnStart(
           std::chrono::duration_cast<std::chrono::microseconds>(now -
                                                                 job.arrival),
--- a/src/jayrill/entry/service_pool.h
+++ b/src/jayrill/entry/service_pool.h
@@ -1,6 +1,7 @@
 #ifndef JAYRILL_ENTRY_SERVICE_POOL_H_
 #define JAYRILL_ENTRY_SERVICE_POOL_H_
 
+#include <chrono>
 #include <cstddef>
 #include <map>
 #include <optional>
@@ -80,7 +81,26 @@
   bool needs_placement() const { return needs_placement_; }
   void set_needs_placement(bool needed) { needs_placement_ = needed; }
 
+  /// Records that a start has run, or that a busy minion has given one back.
+  void OnRun() { return_share_ -= kReturnWeight * return_share_; }
+  void OnReturn(steady_time now) {
+    return_share_ += kReturnWeight * (1 - return_share_);
+    last_return_ = now;
+  }
+
+  /// \returns true when busy minions have lately given back at least half of
+  /// the starts, so that a minion that looks free probably is not.
+  bool AreStartsReturned(steady_time now) const {
+    return return_share_ >= kManyReturned && last_return_ &&
+           now - *last_return_ < kReturnMemory;
+  }
+
  private:
+  /// Weight of the latest start in return_share_.
+  static constexpr double kReturnWeight = 0.1;
+  static constexpr double kManyReturned = 0.5;
+  static constexpr std::chrono::milliseconds kReturnMemory{100};
+
   std::string service_;
   std::vector<agent_session*> minions_;
   team_queues queues_;
@@ -88,6 +108,8 @@
   bool needs_placement_ = false;
   bool has_learned_times_ = false;
   std::optional<steady_time> unavailable_since_;
+  double return_share_ = 0;  ///< Of returns among the latest starts.
+  std::optional<steady_time> last_return_;
 };
 
 }  // namespace jayrill
--- a/src/jayrill/placement/start_delay.h
+++ b/src/jayrill/placement/start_delay.h
@@ -1,6 +1,7 @@
 #ifndef JAYRILL_PLACEMENT_START_DELAY_H_
 #define JAYRILL_PLACEMENT_START_DELAY_H_
 
+#include <algorithm>
 #include <chrono>
 
 #include "jayrill/base/clock.h"
@@ -18,13 +19,21 @@
   /// Records that a task of the profile was started after \p wait.
   void OnStart(std::chrono::microseconds wait, steady_time now) {
     delay_micros_ += kSampleWeight * (ToMicros(wait) - delay_micros_);
-    last_start_ = now;
+    last_sample_ = now;
   }
 
-  /// \returns the expected wait at \p now. It is 0 when no task has started for
+  /// Records that a busy minion has given back a start of a task that has
+  /// waited for \p wait and goes on waiting. So the estimate does not fall.
+  void OnReturn(std::chrono::microseconds wait, steady_time now) {
+    delay_micros_ +=
+        kSampleWeight * std::max(0.0, ToMicros(wait) - delay_micros_);
+    last_sample_ = now;
+  }
+
+  /// \returns the expected wait at \p now. It is 0 when there was no sample for
   /// kMaxEstimateAge, so that refusals end after the queue has become empty.
   std::chrono::microseconds Expected(steady_time now) const {
-    return now - last_start_ > kMaxEstimateAge
+    return now - last_sample_ > kMaxEstimateAge
                ? std::chrono::microseconds{0}
                : std::chrono::microseconds(
                      static_cast<std::int64_t>(delay_micros_));
@@ -40,7 +49,7 @@
   }
 
   double delay_micros_ = 0;
-  steady_time last_start_;
+  steady_time last_sample_;
 };
 
 }  // namespace jayrill
