Check that only jobs with a start may have run

Cause: the property of the dispatcher under random faults checked that no job reported as not run has run or runs later, but not the reverse: an answer "may have run" (504) for a job of which nothing was ever sent.

Change: each decision records whether a start of the job was sent before; every failure other than not_run requires one.

Ruled out: nothing; no fault was found by it.

--- a/tests/entry/dispatcher_property_test.cc
+++ b/tests/entry/dispatcher_property_test.cc
@@ -193,6 +193,10 @@
         if (outcome.error().effect == job_effect::kNotRun) {
           RC_ASSERT(decided[0].executions == 0);
           RC_ASSERT(now == 0);
+        } else {
+          // The caller may not repeat the job, so a minion must be able to have
+          // got a start of it.
+          RC_ASSERT(decided[0].was_sent);
         }
         continue;
       }
--- a/tests/entry/fake_cluster.h
+++ b/tests/entry/fake_cluster.h
@@ -3,6 +3,7 @@
 
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -19,7 +20,8 @@
   struct decision {
     job_outcome outcome;
     steady_time decided_at;
-    int executions = 0;  ///< Of the job, at the time of its decision.
+    int executions = 0;     ///< Of the job, at the time of its decision.
+    bool was_sent = false;  ///< A start of the job was sent before.
   };
 
   explicit fake_cluster(const std::string& strategy = "jayrill")
@@ -99,6 +101,9 @@
 
   // dispatch_output
   void SendStarts(agent_handle handle, start_batch batch) override {
+    for (const start_request& start : batch.starts) {
+      sent_jobs.insert(start.job);
+    }
     if (fake_agent* const agent = AgentOf(handle)) {
       sent.emplace_back(agent, batch.starts.size());
       agent->EnqueueBatch(std::move(batch));
@@ -125,7 +130,8 @@
     }
   }
   void JobDecided(job_id job, job_outcome outcome) override {
-    decisions[job].push_back({std::move(outcome), time.Now(), Executions(job)});
+    decisions[job].push_back({std::move(outcome), time.Now(), Executions(job),
+                              sent_jobs.contains(job)});
   }
   void NewerConfig(shared_config config) override {
     revision = std::max(revision, config->revision.value);
@@ -145,6 +151,7 @@
   std::uint64_t last_job = 0;
   std::size_t cancelled = 0;
   std::vector<std::pair<fake_agent*, std::size_t>> sent;
+  std::set<job_id> sent_jobs;  ///< Jobs of which a start was sent.
   std::vector<std::pair<agent_handle, std::uint64_t>> pushes;
   std::map<job_id, std::vector<decision>> decisions;
   std::map<job_id, std::size_t> task_counts;
