--- a/src/jayrill/entry/service_pool.h
+++ b/src/jayrill/entry/service_pool.h
@@ -81,8 +81,10 @@
   bool needs_placement() const { return needs_placement_; }
   void set_needs_placement(bool needed) { needs_placement_ = needed; }
 
-  /// Records that a start has run, or that a busy minion has given one back.
+  /// Records that a start has run.
   void OnRun() { return_share_ -= kReturnWeight * return_share_; }
+
+  /// Records that a busy minion has given a start back.
   void OnReturn(steady_time now) {
     return_share_ += kReturnWeight * (1 - return_share_);
     last_return_ = now;
