--- a/src/jayrill/agent/internal/minion_call.h
+++ b/src/jayrill/agent/internal/minion_call.h
@@ -7,9 +7,9 @@
 #include <functional>
 
 #include "jayrill/agent/agent_settings.h"
-#include "jayrill/agent/internal/upload_device.h"
 #include "jayrill/agent/task_call.h"
 #include "jayrill/base/clock.h"
+#include "jayrill/base/upload_device.h"
 #include "jayrill/job/task_result.h"
 
 namespace jayrill::agent::internal {
--- a/src/jayrill/agent/internal/upload_device.h
+++ b/src/jayrill/base/upload_device.h
@@ -1,5 +1,5 @@
-#ifndef JAYRILL_AGENT_INTERNAL_UPLOAD_DEVICE_H_
-#define JAYRILL_AGENT_INTERNAL_UPLOAD_DEVICE_H_
+#ifndef JAYRILL_BASE_UPLOAD_DEVICE_H_
+#define JAYRILL_BASE_UPLOAD_DEVICE_H_
 
 #include <QByteArray>
 #include <QIODevice>
@@ -7,14 +7,14 @@
 #include <cstring>
 #include <utility>
 
-namespace jayrill::agent::internal {
+namespace jayrill {
 
 /// A request body that can be read only once, which keeps Qt from repeating the
 /// request.
 ///
 /// QNetworkAccessManager repeats a request on a new connection when the server
-/// closes the old one before it answers, which would run a task twice. It fails
-/// the request instead when the body cannot be rewound.
+/// closes the old one before it answers, so a request would be carried out
+/// twice. It fails the request instead when the body cannot be rewound.
 class upload_device final : public QIODevice {
  public:
   explicit upload_device(QByteArray body) : body_(std::move(body)) {
@@ -52,6 +52,6 @@
   bool was_read_ = false;
 };
 
-}  // namespace jayrill::agent::internal
+}  // namespace jayrill
 
-#endif  // JAYRILL_AGENT_INTERNAL_UPLOAD_DEVICE_H_
+#endif  // JAYRILL_BASE_UPLOAD_DEVICE_H_
