Repeat the cancels of decided jobs when an agent connects again

Cause: when a job is decided (its caller has gone, its deadline has passed, or another of its tasks was lost), the entry cancels its starts. It left out agents whose connection was cut at that time, and a cancel on its way is lost with the connection. The agent then resumes the session within 650 ms, keeps the start as one of a session that is alive, and runs it to its end, while the caller submits the job again after 1.3 s.

Change: after an agent has resumed a session, the entry cancels the outstanding starts of decided jobs. Agents keep cancels that arrive before the answer to the handshake, as they do with starts.

Class of fault: a message of which the loss is not noticed, though the session that it belongs to lives on.

--- a/src/jayrill/agent/entry_link.cc
+++ b/src/jayrill/agent/entry_link.cc
@@ -184,6 +184,7 @@
   for (const start_batch& batch : std::exchange(early_batches_, {})) {
     context_.core.AdmitBatch(entry_, batch);
   }
+  context_.core.Cancel(entry_, std::exchange(early_cancels_, {}));
   ScheduleReport();
 }
 
@@ -194,6 +195,7 @@
   config_due_ = false;
   reports_in_flight_ = 0;
   early_batches_.clear();
+  early_cancels_.clear();
   held_answers_.clear();
   held_responses_.clear();
   if (connection_.get() == nullptr) {
@@ -268,7 +270,7 @@
 
 void entry_link::OnCancel(std::uint64_t serial,
                           capnp::List<std::uint64_t>::Reader wire_numbers) {
-  if (!OnMessage(serial) || !handshake_done_) {
+  if (!OnMessage(serial)) {
     return;
   }
   std::vector<start_number> numbers;
@@ -276,7 +278,11 @@
   for (const std::uint64_t number : wire_numbers) {
     numbers.push_back(start_number{number});
   }
-  context_.core.Cancel(entry_, numbers);
+  if (handshake_done_) {
+    context_.core.Cancel(entry_, numbers);
+  } else {
+    early_cancels_.insert(early_cancels_.end(), numbers.begin(), numbers.end());
+  }
 }
 
 config_revision entry_link::OnConfigure(std::uint64_t serial,
--- a/src/jayrill/agent/entry_link.h
+++ b/src/jayrill/agent/entry_link.h
@@ -148,8 +148,10 @@
   connection_epoch epoch_;
   config_revision entry_revision_;  // Last that the entry sent or was sent.
   std::vector<entry_endpoint> listed_entries_;
-  // Batches that arrived before the response to connect.
+  // Batches, and numbers of cancelled starts, that arrived before the response
+  // to connect.
   std::vector<start_batch> early_batches_;
+  std::vector<start_number> early_cancels_;
   kj::Own<agent::internal::entry_connection> connection_;
   kj::Vector<kj::Own<kj::PromiseFulfiller<void>>> held_answers_;
   // Cap'n Proto ends a call when its response is destroyed.
--- a/src/jayrill/entry/agent_session.h
+++ b/src/jayrill/entry/agent_session.h
@@ -119,6 +119,10 @@
   bool open() const { return open_; }
   bool in_service() const { return in_service_; }
   std::size_t outstanding() const { return window_.outstanding(); }
+  /// \returns the outstanding starts by number.
+  const std::map<start_number, task_ref>& outstanding_starts() const {
+    return window_.tasks();
+  }
   steady_time last_heard() const { return last_heard_; }
 
   /// \returns since when an agent with outstanding starts has been silent. An
--- a/src/jayrill/entry/dispatcher.cc
+++ b/src/jayrill/entry/dispatcher.cc
@@ -109,6 +109,9 @@
   session.SetSlowness(speed_model_.Slowness(session.handle().value), now);
   isolation_detector_.OnAgentContact(hello.data_centre, now);
   agents_.UpdatePool(session);
+  if (effect->resumed && session.outstanding() > 0) {
+    cancels_due_.insert(session.handle());
+  }
   return connect_reply{session.handle(), connection, effect->resumed};
 }
 
--- a/src/jayrill/entry/dispatcher.h
+++ b/src/jayrill/entry/dispatcher.h
@@ -184,6 +184,9 @@
   /// outcome.
   void OnDecided(job_record& job);
   void CancelOutstanding(job_record& job);
+  /// Cancels the outstanding starts of decided jobs at agents that have
+  /// connected again. An earlier cancel may have been lost with the connection.
+  void RepeatCancels();
   void ReportOutcome(job_id id, const job_outcome& outcome);
   void CheckDrained();
 
@@ -279,6 +282,7 @@
   bool draining_ = false;
   std::vector<std::function<void()>> drain_callbacks_;
   std::map<agent_handle, start_batch> outbox_;  ///< Sent by Flush.
+  std::set<agent_handle> cancels_due_;  ///< Agents for RepeatCancels.
 };
 
 }  // namespace jayrill
--- a/src/jayrill/entry/dispatcher_sending.cc
+++ b/src/jayrill/entry/dispatcher_sending.cc
@@ -127,8 +127,29 @@
   return config_ && HasWaitedForAgents() && !IsIsolated();
 }
 
+void dispatcher::RepeatCancels() {
+  for (const agent_handle handle : std::exchange(cancels_due_, {})) {
+    const agent_session* const session = agents_.Find(handle);
+    if (session == nullptr || !session->connected()) {
+      continue;
+    }
+    std::vector<start_number> numbers;
+    for (const auto& [number, task] : session->outstanding_starts()) {
+      const job_record* const job = jobs_.Find(task.job);
+      if (job != nullptr && job->decided) {
+        numbers.push_back(number);
+      }
+    }
+    if (!numbers.empty()) {
+      counters_.messages_out += numbers.size();
+      output_.SendCancel(handle, std::move(numbers));
+    }
+  }
+}
+
 void dispatcher::Flush() {
   BeginEvent();
+  RepeatCancels();
   if (!MaySend()) {
     return;
   }
--- a/src/jayrill/session/start_window.h
+++ b/src/jayrill/session/start_window.h
@@ -50,6 +50,10 @@
   std::vector<task_ref> Close();
 
   std::size_t outstanding() const { return tasks_.size(); }
+
+  /// \returns the outstanding starts by number.
+  const std::map<start_number, task_ref>& tasks() const { return tasks_; }
+
   connection_epoch epoch() const { return epoch_; }
 
  private:
