Drop cancelled starts that still wait at the entry

Cause: an entry sends at most 16 unanswered calls with starts to an agent and keeps further batches back. A cancel goes out at once and so overtakes them; the agent ignores the number of a start that it has not received. The start follows when the agent has answered, with the time left that it had when it was placed, and runs although its job was decided. The caller has been told 504 and submits the job again after 1.3 s.

Change: a cancel takes the starts that still wait out of their batches. The dispatcher counts them as not run, and the agent hears nothing of them.

Evidence: dispatch_service_test.DoesNotSendAStartThatWasCancelled failed before: 18 starts reached the agent in place of 17, the cancelled one among them. The other tests of the entry's dispatcher pass.

Class of fault: a message that overtakes the one that it revokes.

--- a/src/jayrill/entry/agent_connection.cc
+++ b/src/jayrill/entry/agent_connection.cc
@@ -123,15 +123,38 @@
   }
 }
 
-void agent_connection::SendCancel(const std::vector<start_number>& numbers) {
-  // A start in a batch that still waits in pending_ is not cancelled: the agent
-  // ignores the number of a start that it has not received yet.
+std::vector<start_number> agent_connection::DropPending(
+    const std::set<start_number>& numbers) {
+  std::vector<start_number> dropped;
+  for (start_batch& batch : pending_) {
+    std::erase_if(batch.starts, [&](const start_request& start) {
+      if (!numbers.contains(start.number)) {
+        return false;
+      }
+      dropped.push_back(start.number);
+      return true;
+    });
+  }
+  std::erase_if(pending_,
+                [](const start_batch& batch) { return batch.starts.empty(); });
+  return dropped;
+}
+
+std::vector<start_number> agent_connection::SendCancel(
+    const std::vector<start_number>& numbers) {
+  std::vector<start_number> dropped =
+      DropPending({numbers.begin(), numbers.end()});
+  if (dropped.size() == numbers.size()) {
+    return dropped;
+  }
+  // The agent ignores the numbers of starts that it has not received.
   auto request = Port().cancelRequest();
   auto wire = request.initNumbers(static_cast<unsigned>(numbers.size()));
   for (unsigned i = 0; i < wire.size(); ++i) {
     wire.set(i, numbers[i].value);
   }
   calls_.add(request.send().ignoreResult());
+  return dropped;
 }
 
 void agent_connection::SendConfig(config_revision revision,
--- a/src/jayrill/entry/agent_connection.h
+++ b/src/jayrill/entry/agent_connection.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <deque>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -41,7 +42,12 @@
   /// Queues \p batch and sends as much as the limit of calls in flight allows;
   /// the rest follows when earlier calls have been answered.
   void SendStarts(start_batch batch);
-  void SendCancel(const std::vector<start_number>& numbers);
+
+  /// Cancels the starts \p numbers. Those that still wait here are dropped; the
+  /// agent never receives them.
+  /// \returns the dropped ones.
+  std::vector<start_number> SendCancel(
+      const std::vector<start_number>& numbers);
   void SendConfig(config_revision revision,
                   const std::string& packed,
                   std::uint64_t push);
@@ -60,6 +66,9 @@
  private:
   void taskFailed(kj::Exception&& exception) override;
   void SendPending();
+  /// Removes those of \p numbers that still wait here.
+  /// \returns the removed ones.
+  std::vector<start_number> DropPending(const std::set<start_number>& numbers);
   /// \returns the capability of the agent. Updates last_sent(), since every
   /// caller sends a message.
   wire::AgentPort::Client& Port();
--- a/src/jayrill/entry/agent_server.cc
+++ b/src/jayrill/entry/agent_server.cc
@@ -233,8 +233,17 @@
 
 void agent_server::SendCancel(agent_handle agent,
                               std::vector<start_number> numbers) {
-  if (agent_connection* const connection = FindConnection(agent)) {
-    connection->SendCancel(numbers);
+  agent_connection* const connection = FindConnection(agent);
+  if (connection == nullptr) {
+    return;
+  }
+  std::vector<start_number> dropped = connection->SendCancel(numbers);
+  if (!dropped.empty()) {
+    // Deferred, because the dispatcher must not be called back.
+    tasks_.add(kj::evalLater([this, agent, dropped = std::move(dropped)] {
+      core_.OnStartsDropped(agent, dropped);
+      ScheduleFlush();
+    }));
   }
 }
 
--- a/src/jayrill/entry/dispatcher.h
+++ b/src/jayrill/entry/dispatcher.h
@@ -88,6 +88,11 @@
                 const std::vector<task_result>& results,
                 const minion_status& status);
 
+  /// The cancelled starts \p numbers were dropped before they were sent to
+  /// \p agent.
+  void OnStartsDropped(agent_handle agent,
+                       const std::vector<start_number>& numbers);
+
   /// Closes the session of an agent that stops.
   void OnGoodbye(agent_handle agent, connection_id connection);
 
@@ -282,7 +287,7 @@
   bool draining_ = false;
   std::vector<std::function<void()>> drain_callbacks_;
   std::map<agent_handle, start_batch> outbox_;  ///< Sent by Flush.
-  std::set<agent_handle> cancels_due_;  ///< Agents for RepeatCancels.
+  std::set<agent_handle> cancels_due_;          ///< Agents for RepeatCancels.
 };
 
 }  // namespace jayrill
--- a/src/jayrill/entry/dispatcher_results.cc
+++ b/src/jayrill/entry/dispatcher_results.cc
@@ -16,6 +16,22 @@
   OnStartEnded(session, *task, result);
 }
 
+void dispatcher::OnStartsDropped(agent_handle agent,
+                                 const std::vector<start_number>& numbers) {
+  BeginEvent();
+  agent_session* const session = agents_.Find(agent);
+  if (session == nullptr) {
+    return;
+  }
+  for (const start_number number : numbers) {
+    task_result result;
+    result.number = number;
+    result.outcome = task_outcome::kNotRun;
+    result.reason = not_run_reason::kCancelled;
+    OnResult(*session, result);
+  }
+}
+
 void dispatcher::OnStartEnded(agent_session& session,
                               task_ref task,
                               const task_result& end) {
--- a/tests/entry/dispatch_service_test.cc
+++ b/tests/entry/dispatch_service_test.cc
@@ -65,6 +65,15 @@
     ASSERT_TRUE(reached());
   }
 
+  /// \returns the starts that the entry counts as sent and not ended, as of the
+  /// last call.
+  std::uint64_t OutstandingStarts() {
+    service_.GetStatus([this](const dispatch_status& status) {
+      outstanding_ = status.outstanding;
+    });
+    return outstanding_;
+  }
+
   void ExpectAnswer(std::size_t tasks) {
     ASSERT_TRUE(outcome_.has_value() && outcome_->has_value());
     ASSERT_EQ((*outcome_)->results.size(), tasks);
@@ -76,6 +85,7 @@
   kj::AsyncIoContext io_;
   system_clock time_;
   std::atomic<int> decided_ = 0;
+  std::atomic<std::uint64_t> outstanding_ = 0;
   std::optional<job_outcome> outcome_;
   dispatch_service service_;
   std::uint16_t port_ = 0;
@@ -105,6 +115,34 @@
   EXPECT_EQ(agent.executions(), 20U);
 }
 
+// Guards against a start that is sent after it was cancelled. A batch waits at
+// the entry while many calls to its agent are unanswered, and a cancel that
+// goes out before it has no effect there.
+TEST_F(dispatch_service_test, DoesNotSendAStartThatWasCancelled) {
+  constexpr std::uint64_t kMaxCallsInFlight = 16;
+  echo_agent agent(io_, port_, "agent-1");
+  agent.SetSlots(64);
+  agent.HoldAnswers(true);
+  agent.HoldResults(true);
+  agent.Connect();
+  for (std::uint64_t job = 1; job <= kMaxCallsInFlight; ++job) {
+    Submit(job, 1);
+    RunUntil(agent, [&] { return agent.executions() == job; });
+  }
+  const std::uint64_t waiting_job = kMaxCallsInFlight + 1;
+  Submit(waiting_job, 1);
+  RunUntil(agent, [this] { return OutstandingStarts() == waiting_job; });
+  service_.Cancel(job_id{{1}, waiting_job});
+  RunUntil(agent, [this] { return decided_ == 1; });
+  agent.HoldAnswers(false);
+  Submit(waiting_job + 1, 1);
+  RunUntil(agent, [&] { return agent.executions() > kMaxCallsInFlight; });
+  EXPECT_EQ(agent.last_job().sequence, waiting_job + 1);
+  EXPECT_EQ(agent.executions(), kMaxCallsInFlight + 1);
+  // The start that was not sent does not count as outstanding any more.
+  RunUntil(agent, [this] { return OutstandingStarts() == waiting_job; });
+}
+
 // Guards against a connection that sends nothing or garbage and so disturbs the
 // other connections.
 TEST_F(dispatch_service_test, SurvivesGarbage) {
--- a/tests/entry/echo_agent.h
+++ b/tests/entry/echo_agent.h
@@ -46,6 +46,20 @@
   /// Makes has_results return false while \p held is true.
   void HoldResults(bool held) { holds_results_ = held; }
 
+  /// Leaves the calls with starts unanswered while \p held is true.
+  void HoldAnswers(bool held) {
+    holds_answers_ = held;
+    if (!held) {
+      for (auto& answer : held_answers_) {
+        answer->fulfill();
+      }
+      held_answers_.clear();
+    }
+  }
+
+  /// Sets how many tasks the minion says that it runs at a time.
+  void SetSlots(std::uint32_t slots) { slots_ = slots; }
+
   /// Reports all results that are not acknowledged.
   void Report() {
     auto request = KJ_REQUIRE_NONNULL(session_).reportRequest();
@@ -60,6 +74,8 @@
   }
 
   std::size_t executions() const { return executions_; }
+  /// \returns the job of the last start that was executed.
+  job_id last_job() const { return last_job_; }
   bool has_results() const { return !holds_results_ && !results_.empty(); }
 
  private:
@@ -70,7 +86,7 @@
     explicit port_server(echo_agent& agent) : agent_(agent) {}
     kj::Promise<void> start(StartContext context) override {
       agent_.OnStarts(context.getParams().getBatch());
-      return kj::READY_NOW;
+      return agent_.Answer();
     }
     kj::Promise<void> cancel(CancelContext /*context*/) override {
       return kj::READY_NOW;
@@ -99,11 +115,20 @@
   minion_status Status() const {
     minion_status status;
     status.service = "quotes";
-    status.slots = 8;
+    status.slots = slots_;
     status.revision = config_revision{revision_};
     return status;
   }
 
+  kj::Promise<void> Answer() {
+    if (!holds_answers_) {
+      return kj::READY_NOW;
+    }
+    auto answer = kj::newPromiseAndFulfiller<void>();
+    held_answers_.add(kj::mv(answer.fulfiller));
+    return kj::mv(answer.promise);
+  }
+
   void OnStarts(wire::StartBatch::Reader batch) {
     for (const auto wire : batch.getStarts()) {
       const start_request order = Decode(wire);
@@ -112,6 +137,7 @@
         continue;
       }
       ++executions_;
+      last_job_ = order.job;
       task_result result;
       result.number = order.number;
       result.outcome = task_outcome::kSucceeded;
@@ -128,7 +154,11 @@
   std::uint64_t revision_ = 0;
   std::vector<task_result> results_;
   std::size_t executions_ = 0;
+  job_id last_job_;
   bool holds_results_ = false;
+  bool holds_answers_ = false;
+  std::uint32_t slots_ = 8;
+  kj::Vector<kj::Own<kj::PromiseFulfiller<void>>> held_answers_;
   kj::Own<connection> connection_;
   kj::Maybe<wire::EntrySession::Client> session_;
 };
