Submit jobs of commands and load runs at most once

Callers of the command line saw nothing of it: `jayrill submit`, the operator commands and `jayrill load` could send one request twice.

QNetworkAccessManager repeats a POST when the server closes the connection before its answer. A job that an entry had taken when it ended was submitted again to the next process on that address, unasked; a changed configuration met itself as a conflict; a refused connection after a first sending was told as "no entry listens". The etcd client counts its sendings and needs no change.

Change: http_call and request_pool send bodies through upload_device. The stand-in server of the tests moves to tests/support.

--- a/src/jayrill/cli/http_call.cc
+++ b/src/jayrill/cli/http_call.cc
@@ -8,6 +8,9 @@
 #include <QNetworkRequest>
 #include <QUrl>
 #include <memory>
+#include <utility>
+
+#include "jayrill/base/upload_device.h"
 
 namespace jayrill {
 namespace {
@@ -26,6 +29,20 @@
   return request;
 }
 
+/// Sends a request of which the body, unless it is empty, is sent once.
+std::unique_ptr<QNetworkReply> SendOnce(QNetworkAccessManager& network,
+                                        QNetworkRequest request,
+                                        const QByteArray& method,
+                                        upload_device& body) {
+  if (body.size() == 0) {
+    return std::unique_ptr<QNetworkReply>(
+        network.sendCustomRequest(request, method));
+  }
+  request.setHeader(QNetworkRequest::ContentLengthHeader, body.size());
+  return std::unique_ptr<QNetworkReply>(
+      network.sendCustomRequest(request, method, &body));
+}
+
 }  // namespace
 
 QJsonObject http_answer::Json() const {
@@ -35,8 +52,9 @@
 result<http_answer> Send(const std::string& address, const http_call& call) {
   QNetworkAccessManager network;
   network.setProxy(QNetworkProxy::NoProxy);
-  const std::unique_ptr<QNetworkReply> reply(network.sendCustomRequest(
-      MakeRequest(address, call), call.method, call.body));
+  upload_device body(call.body);
+  const std::unique_ptr<QNetworkReply> reply =
+      SendOnce(network, MakeRequest(address, call), call.method, body);
   QEventLoop loop;
   QObject::connect(reply.get(), &QNetworkReply::finished, &loop,
                    &QEventLoop::quit);
@@ -46,13 +64,14 @@
   const QVariant status =
       reply->attribute(QNetworkRequest::HttpStatusCodeAttribute);
   const QNetworkReply::NetworkError failure = reply->error();
-  if (failure == QNetworkReply::ConnectionRefusedError) {
+  if (failure == QNetworkReply::ConnectionRefusedError && !body.was_read()) {
     return MakeError(
         error_kind::kUnavailable, "no entry listens on " + address,
         "check the address in --entry and that the entry is running");
   }
   if (!status.isValid() || failure == QNetworkReply::RemoteHostClosedError ||
-      failure == QNetworkReply::OperationCanceledError) {
+      failure == QNetworkReply::OperationCanceledError ||
+      failure == QNetworkReply::ConnectionRefusedError) {
     return MakeError(error_kind::kUnknownOutcome,
                      "no complete answer from " + address + ": " +
                          reply->errorString().toStdString(),
--- a/src/jayrill/cli/http_call.h
+++ b/src/jayrill/cli/http_call.h
@@ -33,7 +33,7 @@
 /// Sends \p call to \p address and runs a Qt event loop until the answer
 /// arrives or the request fails. A refused connection is the error
 /// kUnavailable. After any other failure the request may have taken effect, so
-/// it is the error kUnknownOutcome.
+/// it is the error kUnknownOutcome. A request with a body is sent once.
 result<http_answer> Send(const std::string& address, const http_call& call);
 
 }  // namespace jayrill
--- a/src/jayrill/load/request_pool.cc
+++ b/src/jayrill/load/request_pool.cc
@@ -5,6 +5,8 @@
 #include <cassert>
 #include <utility>
 
+#include "jayrill/base/upload_device.h"
+
 namespace jayrill {
 
 request_pool::request_pool(std::size_t target_count,
@@ -24,7 +26,13 @@
   }
   ++chosen->in_flight[target];
   ++in_flight_[target];
-  QNetworkReply* const reply = chosen->network->post(request, body);
+  // The reply owns the body.
+  auto content = std::make_unique<upload_device>(body);
+  QNetworkRequest sized_request = request;
+  sized_request.setHeader(QNetworkRequest::ContentLengthHeader, body.size());
+  QNetworkReply* const reply =
+      chosen->network->post(sized_request, content.get());
+  content.release()->setParent(reply);
   QObject::connect(reply, &QNetworkReply::finished, reply,
                    [this, chosen, target, reply, done = std::move(done)] {
                      --chosen->in_flight[target];
--- a/src/jayrill/load/request_pool.h
+++ b/src/jayrill/load/request_pool.h
@@ -29,8 +29,8 @@
   /// \param max_connections limit of requests in flight to each target.
   request_pool(std::size_t target_count, std::size_t max_connections);
 
-  /// Posts \p body, unless all connections to \p target are in use. \p done is
-  /// called when the reply has finished.
+  /// Posts \p body once, unless all connections to \p target are in use. The
+  /// body must not be empty. \p done is called when the reply has finished.
   /// \returns false when nothing was sent.
   bool Post(std::size_t target,
             const QNetworkRequest& request,
--- a/tests/platform/http_client_test.cc
+++ b/tests/platform/http_client_test.cc
@@ -2,63 +2,16 @@
 
 #include <gtest/gtest.h>
 
-#include <QHostAddress>
-#include <QTcpServer>
-#include <QTcpSocket>
-#include <memory>
 #include <optional>
 #include <string>
 
+#include "closing_server.h"
 #include "platform/minion_calls.h"
 #include "qt_wait.h"
 
 namespace jayrill::platform {
 namespace {
 
-/// Reads requests whole and closes the connection of one of them without an
-/// answer. Answers all others: with status 200 before that one, with status 503
-/// after it.
-class closing_server {
- public:
-  /// \p unanswered: number of the request without an answer, from 1.
-  explicit closing_server(int unanswered) : unanswered_(unanswered) {
-    server_.listen(QHostAddress::LocalHost);
-    QObject::connect(&server_, &QTcpServer::newConnection, &server_, [this] {
-      QTcpSocket* const connection = server_.nextPendingConnection();
-      QObject::connect(connection, &QTcpSocket::readyRead, connection,
-                       [this, connection] { Read(*connection); });
-    });
-  }
-
-  std::uint16_t port() const { return server_.serverPort(); }
-  std::string address() const { return "127.0.0.1:" + std::to_string(port()); }
-  int requests() const { return requests_; }
-
- private:
-  void Read(QTcpSocket& connection) {
-    received_ += connection.readAll();
-    // The bodies of these tests have no inner objects, so a brace ends one.
-    if (!received_.endsWith('}')) {
-      return;
-    }
-    received_.clear();
-    ++requests_;
-    if (requests_ == unanswered_) {
-      connection.close();
-    } else if (requests_ < unanswered_) {
-      connection.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
-    } else {
-      connection.write(
-          "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 2\r\n\r\n{}");
-    }
-  }
-
-  int unanswered_;
-  QTcpServer server_;
-  QByteArray received_;
-  int requests_ = 0;
-};
-
 struct connection_case {
   std::string name;
   int unanswered = 1;
