Refuse starts that reach an agent late

A start that was held back on its way ran after its entry had given up the job. Callers saw a 504, submitted the job again after repeat_after, and the task then had two runs at the same time.

Cause: a start names the time that is left, counted from its arrival, and the agent took any message as evidence that its entry was alive when the message was read. Bytes behind a partition that heals, messages that a slow agent has not read, and batches that wait at the entry behind calls without an answer all arrive long after they were placed. The entry has closed the session after repeat_after / 2 of silence by then. Nothing in the message said how old it was, so the agent admitted the start as new and also counted the silence of the entry from its arrival.

Fix: hello and reports carry the agent's steady time. The entry adds the time since their receipt and sends the sum with each batch, as of the moment at which the dispatcher places the starts. This is a lower bound of the agent's clock, so the agent gets an upper bound of the age without synchronised clocks, and refuses starts older than its silence timeout as not run. The silence of an entry now counts from when it was certainly alive: the placing of its newest starts, or the sending of the newest hello or report that it has answered. A field that is absent means that the age is not known; such a start is admitted as before. With a silence timeout of 0 nothing changes.

A report that is read late, as after a pause of the entry, makes starts look older than they are. They are refused as not run, and the report with the refusal brings a newer time.

Ruled out: the reconnect does not help, since the held bytes arrive on the connection that is still current for the agent; the 1 s limit of the pause detector does not either, since the agent is not paused.

--- a/src/jayrill/agent/agent_core.cc
+++ b/src/jayrill/agent/agent_core.cc
@@ -25,6 +25,10 @@
   return std::chrono::duration_cast<std::chrono::microseconds>(duration);
 }
 
+std::chrono::milliseconds Millis(steady_duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
+}
+
 }  // namespace
 
 agent_core::agent_core(agent_settings settings,
@@ -157,6 +161,13 @@
   }
   entry_session& session = sessions_[entry];
   const steady_time now = time_.Now();
+  session.OnAlive(batch.placed.value_or(now));
+  const bool is_late = IsLate(batch);
+  if (is_late) {
+    LOG(WARNING) << "agent: refusing starts that arrive late entry="
+                 << ToString(entry) << " starts=" << batch.starts.size()
+                 << " age_ms=" << Millis(now - *batch.placed).count();
+  }
   for (const start_request& order : batch.starts) {
     if (order.max_wait.count() > 0) {
       DispatchWaiting();  // ExpectedWait needs to know what runs.
@@ -167,7 +178,10 @@
                                                       : counters_.fenced);
       continue;
     }
-    if (batch.revision < config_.revision) {
+    if (is_late) {
+      Refuse(entry, order.number,
+             {not_run_reason::kExpired, "the start has arrived too late"}, {});
+    } else if (batch.revision < config_.revision) {
       Refuse(entry, order.number,
              {not_run_reason::kStaleConfig,
               "the entry's configuration is older than the agent's"},
@@ -192,6 +206,11 @@
   host_.StatusChanged();
 }
 
+bool agent_core::IsLate(const start_batch& batch) const {
+  return settings_.silence_timeout.count() > 0 && batch.placed &&
+         time_.Now() - *batch.placed > settings_.silence_timeout;
+}
+
 void agent_core::Enqueue(incarnation entry, const start_request& order) {
   const steady_time now = time_.Now();
   ++counters_.admitted;
@@ -390,8 +409,8 @@
   CloseLostSessions();
 }
 
-void agent_core::OnMessageReceived(incarnation entry) {
-  sessions_[entry].OnMessageReceived(time_.Now());
+void agent_core::OnAlive(incarnation entry, steady_time when) {
+  sessions_[entry].OnAlive(when);
 }
 
 bool agent_core::HasGuardedRuns(incarnation entry) const {
--- a/src/jayrill/agent/agent_core.h
+++ b/src/jayrill/agent/agent_core.h
@@ -33,6 +33,8 @@
   config_revision revision;  ///< Configuration that the entry used.
   connection_epoch epoch;    ///< Connection that carried the batch.
   std::vector<start_request> starts;
+  /// The entry placed the starts then or later; nothing when it is not known.
+  std::optional<steady_time> placed = std::nullopt;
 
   auto operator<=>(const start_batch&) const = default;
 };
@@ -100,8 +102,9 @@
   /// were acknowledged.
   bool IsIdle(incarnation entry) const;
 
-  /// Admits or refuses each start of \p batch. Drops the whole batch after a
-  /// pause of the process.
+  /// Admits or refuses each start of \p batch. Refuses all when they were
+  /// placed more than agent_settings::silence_timeout ago. Drops the whole
+  /// batch after a pause of the process.
   void AdmitBatch(incarnation entry, const start_batch& batch);
 
   /// Withdraws those of \p numbers that wait for a slot and stops those that
@@ -144,8 +147,9 @@
   entry_session& Session(incarnation entry) { return sessions_[entry]; }
   bool IsConnected(incarnation entry) const;
 
-  /// A message of \p entry has arrived, which shows that it is alive.
-  void OnMessageReceived(incarnation entry);
+  /// A message of \p entry shows that it was alive at \p when. Messages may
+  /// wait in sockets, so this is not the time of their arrival.
+  void OnAlive(incarnation entry, steady_time when);
 
   /// \returns true when tasks of \p entry run and would be stopped if the entry
   /// stayed silent for agent_settings::silence_timeout.
@@ -184,6 +188,10 @@
   std::uint32_t slots() const;
   resource_amount room() const;
 
+  /// \returns true when \p batch was on its way for so long that its entry may
+  /// have closed the session, and the caller may have submitted the job again.
+  bool IsLate(const start_batch& batch) const;
+
   /// Handles a pause of the process that no tick has seen yet.
   /// \returns true when there was one.
   bool CheckPause();
--- a/src/jayrill/agent/entry_link.cc
+++ b/src/jayrill/agent/entry_link.cc
@@ -46,6 +46,16 @@
   return {config_revision{config.getRevision()}, ToString(config.getPacked())};
 }
 
+// \returns the time on the agent's clock that an entry has sent back, or
+// nothing when the entry does not know it. A faulty entry may send one in the
+// future.
+std::optional<steady_time> OwnTime(std::uint64_t micros, steady_time now) {
+  if (micros == 0) {
+    return std::nullopt;
+  }
+  return std::min(steady_time(DecodeClock(micros)), now);
+}
+
 void Encode(const config_copy& config, wire::Config::Builder wire) {
   wire.setRevision(config.revision.value);
   wire.setPacked(ToData(config.packed));
@@ -157,6 +167,8 @@
   hello.setLastAccepted(open.last_accepted.value);
   Encode(context_.core.config(), hello.initConfig());
   Encode(context_.core.Status(), hello.initStatus());
+  hello_sent_at_ = context_.time.Now();
+  hello.setSentMicros(EncodeClock(hello_sent_at_));
   entry_revision_ = context_.core.config().revision;
 }
 
@@ -173,7 +185,7 @@
   schedule_.SetWantedStatusInterval(
       std::chrono::milliseconds(welcome.getStatusMs()));
   context_.core.SetHeartbeat(schedule_.heartbeat());
-  context_.core.OnMessageReceived(entry_);
+  context_.core.OnAlive(entry_, hello_sent_at_);
   // The entry also has the configuration of the hello if that one is newer.
   entry_revision_ = std::max(
       entry_revision_, config_revision{welcome.getConfig().getRevision()});
@@ -230,9 +242,6 @@
     return false;
   }
   schedule_.OnMessageReceived(context_.time.Now());
-  if (entry_.value != 0) {
-    context_.core.OnMessageReceived(entry_);
-  }
   return true;
 }
 
@@ -245,6 +254,7 @@
   batch.revision = config_revision{wire_batch.getRevision()};
   batch.epoch = connection_epoch{wire_batch.getEpoch()};
   batch.starts = Decode(wire_batch.getStarts());
+  batch.placed = OwnTime(wire_batch.getAgentMicros(), context_.time.Now());
   entry_revision_ = batch.revision;
   config_due_ |= batch.revision < context_.core.config().revision;
   if (handshake_done_) {
@@ -390,6 +400,7 @@
   }
   const minion_status status = context_.core.StatusFor(entry_);
   Encode(status, report.initStatus());
+  report.setSentMicros(EncodeClock(now));
   if (ShouldSendConfig(schedule_.IsHeartbeatDue(now))) {
     Encode(context_.core.config(), report.initConfig());
     entry_revision_ = context_.core.config().revision;
@@ -399,10 +410,10 @@
   ++reports_in_flight_;
   ++context_.core.counters().reports;
   connection_->tasks.add(request.send().then(
-      [this, serial = serial_, numbers = std::move(numbers),
+      [this, serial = serial_, numbers = std::move(numbers), sent = now,
        told_retirement = retiring_](
           capnp::Response<wire::EntrySession::ReportResults>&& response) {
-        OnAcknowledged(serial, numbers, told_retirement,
+        OnAcknowledged(serial, numbers, sent, told_retirement,
                        std::chrono::milliseconds(response.getHeartbeatMs()),
                        std::chrono::milliseconds(response.getStatusMs()));
         if (IsCurrent(serial)) {
@@ -417,12 +428,14 @@
 
 void entry_link::OnAcknowledged(std::uint64_t serial,
                                 const std::vector<start_number>& numbers,
+                                steady_time sent,
                                 bool told_retirement,
                                 std::chrono::milliseconds heartbeat,
                                 std::chrono::milliseconds status_interval) {
   if (!OnMessage(serial)) {
     return;
   }
+  context_.core.OnAlive(entry_, sent);
   schedule_.SetWantedStatusInterval(status_interval);
   schedule_.SetHeartbeat(heartbeat);
   context_.core.SetHeartbeat(schedule_.heartbeat());
--- a/src/jayrill/agent/entry_link.h
+++ b/src/jayrill/agent/entry_link.h
@@ -115,6 +115,7 @@
   bool ShouldSendConfig(bool heartbeat) const;
   void OnAcknowledged(std::uint64_t serial,
                       const std::vector<start_number>& numbers,
+                      steady_time sent,
                       bool told_retirement,
                       std::chrono::milliseconds heartbeat,
                       std::chrono::milliseconds status_interval);
@@ -124,7 +125,9 @@
   void ReportStatusWhenDue();
   void SetListedEntries(capnp::List<wire::EntryEndpoint>::Reader entries);
   bool IsCurrent(std::uint64_t serial) const;
-  /// Records that the entry has sent a call or a response.
+  /// Records that the entry has sent a call or a response. For the silence of
+  /// the entry only messages count that say when it was alive: the answers to
+  /// the hello and to reports, and starts.
   /// \returns false when the message must be ignored: it belongs to an earlier
   /// connection, or the connection is being dropped.
   bool OnMessage(std::uint64_t serial);
@@ -146,6 +149,7 @@
   std::uint32_t reports_in_flight_ = 0;
   incarnation entry_;
   connection_epoch epoch_;
+  steady_time hello_sent_at_;
   config_revision entry_revision_;  // Last that the entry sent or was sent.
   std::vector<entry_endpoint> listed_entries_;
   // Batches, and numbers of cancelled starts, that arrived before the response
--- a/src/jayrill/agent/entry_session.h
+++ b/src/jayrill/agent/entry_session.h
@@ -1,6 +1,7 @@
 #ifndef JAYRILL_AGENT_ENTRY_SESSION_H_
 #define JAYRILL_AGENT_ENTRY_SESSION_H_
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -65,10 +66,10 @@
     return connection_epoch{epoch_base_.value + gate_.epoch().value};
   }
 
-  /// The entry has sent something on the current connection.
-  void OnMessageReceived(steady_time now) { last_message_at_ = now; }
-  /// \returns when the entry last sent something.
-  steady_time last_heard() const { return last_message_at_; }
+  /// A message of the entry shows that it was alive at \p when.
+  void OnAlive(steady_time when) { last_heard_ = std::max(last_heard_, when); }
+  /// \returns the latest time at which the entry is known to have been alive.
+  steady_time last_heard() const { return last_heard_; }
 
   bool connected() const { return connected_; }
   bool has_unsent() const { return !unsent_.empty(); }
@@ -98,7 +99,7 @@
   bool lost_ = false;
   bool retiring_ = false;
   steady_time disconnected_at_;
-  steady_time last_message_at_;
+  steady_time last_heard_;
   std::map<start_number, task_result> results_;
   std::set<start_number> unsent_;
 };
--- a/src/jayrill/entry/agent_connection.cc
+++ b/src/jayrill/entry/agent_connection.cc
@@ -39,7 +39,7 @@
     }
     ++count;
   }
-  start_batch part{batch.revision, batch.epoch, {}};
+  start_batch part{batch.revision, batch.epoch, {}, batch.agent_time};
   const auto end = batch.starts.begin() + static_cast<std::ptrdiff_t>(count);
   part.starts.assign(std::make_move_iterator(batch.starts.begin()),
                      std::make_move_iterator(end));
@@ -111,6 +111,7 @@
     auto wire = request.initBatch();
     wire.setRevision(batch.revision.value);
     wire.setEpoch(batch.epoch.value);
+    wire.setAgentMicros(static_cast<std::uint64_t>(batch.agent_time.count()));
     auto starts = wire.initStarts(static_cast<unsigned>(batch.starts.size()));
     for (unsigned i = 0; i < starts.size(); ++i) {
       Encode(batch.starts[i], starts[i]);
--- a/src/jayrill/entry/agent_hello.h
+++ b/src/jayrill/entry/agent_hello.h
@@ -1,6 +1,7 @@
 #ifndef JAYRILL_ENTRY_AGENT_HELLO_H_
 #define JAYRILL_ENTRY_AGENT_HELLO_H_
 
+#include <chrono>
 #include <string>
 
 #include "jayrill/base/ids.h"
@@ -25,6 +26,8 @@
   connection_epoch epoch;
   start_number last_accepted;
   minion_status status;
+  /// When the agent sent it, on its steady clock; zero: not known.
+  std::chrono::microseconds sent{};
 
   auto operator<=>(const agent_hello&) const = default;
 };
--- a/src/jayrill/entry/agent_session.cc
+++ b/src/jayrill/entry/agent_session.cc
@@ -100,6 +100,7 @@
   connected_ = true;
   last_heard_ = now;
   expected_push_ = 0;
+  OnAgentTime(hello.sent, now);
   SetStatus(hello.status, now);
   return effect;
 }
--- a/src/jayrill/entry/agent_session.h
+++ b/src/jayrill/entry/agent_session.h
@@ -17,6 +17,7 @@
 #include "jayrill/placement/minion_health.h"
 #include "jayrill/placement/minion_view.h"
 #include "jayrill/placement/slow_start.h"
+#include "jayrill/session/peer_clock.h"
 #include "jayrill/session/start_window.h"
 
 namespace jayrill {
@@ -67,6 +68,18 @@
   /// \returns false when the connection is not the current one.
   bool OnMessage(connection_id connection, steady_time now);
 
+  /// Records that the agent sent the message that is being handled at \p sent
+  /// on its own clock.
+  void OnAgentTime(std::chrono::microseconds sent, steady_time now) {
+    agent_clock_.OnMessage(sent, now);
+  }
+
+  /// \returns the least time that the agent's clock can show at \p now; zero
+  /// when it is not known.
+  std::chrono::microseconds AgentTime(steady_time now) const {
+    return agent_clock_.LowerBound(now);
+  }
+
   void SetStatus(const minion_status& status, steady_time now);
 
   /// Records whether the agent's data centre is in service under \p config.
@@ -175,6 +188,7 @@
   std::chrono::milliseconds slow_start_;
   agent_hello hello_;
   start_window window_;
+  peer_clock agent_clock_;
   connection_id connection_;
   /// What is expected of an outstanding start. Its remaining time is never
   /// estimated as less than min_remaining.
--- a/src/jayrill/entry/dispatch_output.h
+++ b/src/jayrill/entry/dispatch_output.h
@@ -1,6 +1,7 @@
 #ifndef JAYRILL_ENTRY_DISPATCH_OUTPUT_H_
 #define JAYRILL_ENTRY_DISPATCH_OUTPUT_H_
 
+#include <chrono>
 #include <cstdint>
 #include <vector>
 
@@ -15,6 +16,9 @@
   config_revision revision;
   connection_epoch epoch;
   std::vector<start_request> starts;
+  /// Lower bound of the agent's clock when the starts were placed; zero: not
+  /// known.
+  std::chrono::microseconds agent_time{};
 };
 
 /// Receives what the dispatcher sends. Implemented over RPC, and by test fakes.
--- a/src/jayrill/entry/dispatcher.cc
+++ b/src/jayrill/entry/dispatcher.cc
@@ -125,7 +125,8 @@
 bool dispatcher::OnReport(agent_handle agent,
                           connection_id connection,
                           const std::vector<task_result>& results,
-                          const minion_status& status) {
+                          const minion_status& status,
+                          std::chrono::microseconds sent) {
   BeginEvent();
   const steady_time now = time_.Now();
   counters_.messages_in += std::max<std::size_t>(results.size(), 1);
@@ -133,6 +134,7 @@
   if (session == nullptr || !session->OnMessage(connection, now)) {
     return false;
   }
+  session->OnAgentTime(sent, now);
   isolation_detector_.OnAgentContact(session->hello().data_centre, now);
   for (const task_result& result : results) {
     OnResult(*session, result);
--- a/src/jayrill/entry/dispatcher.h
+++ b/src/jayrill/entry/dispatcher.h
@@ -86,7 +86,8 @@
   bool OnReport(agent_handle agent,
                 connection_id connection,
                 const std::vector<task_result>& results,
-                const minion_status& status);
+                const minion_status& status,
+                std::chrono::microseconds sent = {});
 
   /// The cancelled starts \p numbers were dropped before they were sent to
   /// \p agent.
--- a/src/jayrill/entry/dispatcher_sending.cc
+++ b/src/jayrill/entry/dispatcher_sending.cc
@@ -221,7 +221,11 @@
   profile_quotas_.OnStart(job.profile);
   ++counters_.starts;
   ++counters_.messages_out;
-  start_batch& batch = outbox_[session.handle()];
+  const auto [outgoing, is_new] = outbox_.try_emplace(session.handle());
+  start_batch& batch = outgoing->second;
+  if (is_new) {
+    batch.agent_time = session.AgentTime(now);
+  }
   batch.revision = config_->revision;
   batch.epoch = session.epoch();
   const task_spec& spec = job.spec.tasks[task.index];
--- a/src/jayrill/entry/entry_port_server.cc
+++ b/src/jayrill/entry/entry_port_server.cc
@@ -22,6 +22,7 @@
   hello.epoch = connection_epoch{wire.getEpoch()};
   hello.last_accepted = start_number{wire.getLastAccepted()};
   hello.status = Decode(wire.getStatus());
+  hello.sent = DecodeClock(wire.getSentMicros());
   return hello;
 }
 
@@ -71,9 +72,9 @@
   const auto report = context.getParams().getReport();
   server.OnAgentConfig(report.getConfig());
   const std::vector<task_result> results = jayrill::Decode(report.getResults());
-  const bool accepted =
-      server.core().OnReport(connection_.agent(), connection_.id(), results,
-                             jayrill::Decode(report.getStatus()));
+  const bool accepted = server.core().OnReport(
+      connection_.agent(), connection_.id(), results,
+      jayrill::Decode(report.getStatus()), DecodeClock(report.getSentMicros()));
   server.ScheduleFlush();
   KJ_REQUIRE(accepted, "the connection is not the current one of its agent");
   auto answer = context.getResults();
--- a/src/jayrill/rpc/codec.cc
+++ b/src/jayrill/rpc/codec.cc
@@ -225,6 +225,18 @@
   return entries;
 }
 
+std::chrono::microseconds DecodeClock(std::uint64_t micros) {
+  // Limited, so that sums with a time from a faulty peer cannot overflow, also
+  // in nanoseconds.
+  constexpr std::uint64_t kMaxClockMicros = 1'000'000'000'000'000;
+  return std::chrono::microseconds(std::min(micros, kMaxClockMicros));
+}
+
+std::uint64_t EncodeClock(steady_time time) {
+  return ToWireMicros(std::chrono::duration_cast<std::chrono::microseconds>(
+      time.time_since_epoch()));
+}
+
 std::string ToString(capnp::Text::Reader text) {
   return {text.begin(), text.size()};
 }
--- a/src/jayrill/rpc/codec.h
+++ b/src/jayrill/rpc/codec.h
@@ -1,9 +1,12 @@
 #ifndef JAYRILL_RPC_CODEC_H_
 #define JAYRILL_RPC_CODEC_H_
 
+#include <chrono>
+#include <cstdint>
 #include <string>
 #include <vector>
 
+#include "jayrill/base/clock.h"
 #include "jayrill/job/start_request.h"
 #include "jayrill/job/task_result.h"
 #include "jayrill/rpc/dispatch.capnp.h"
@@ -43,6 +46,12 @@
 std::vector<entry_endpoint> Decode(
     capnp::List<wire::EntryEndpoint>::Reader wire);
 
+/// \returns the time of a steady clock in a message; zero when it is not known.
+std::chrono::microseconds DecodeClock(std::uint64_t micros);
+
+/// \returns \p time, on the own steady clock, for a message.
+std::uint64_t EncodeClock(steady_time time);
+
 /// \returns the text or data of a received message as a string.
 std::string ToString(capnp::Text::Reader text);
 std::string ToString(capnp::Data::Reader data);
--- a/src/jayrill/rpc/dispatch.capnp
+++ b/src/jayrill/rpc/dispatch.capnp
@@ -68,6 +68,7 @@
   lastAccepted @7 :UInt64;   # start number; starts above it are fenced
   config @8 :Config;         # newest configuration of the agent, or empty
   status @9 :MinionStatus;
+  sentMicros @10 :UInt64;    # as in AgentReport
 }
 
 struct EntryWelcome {
@@ -88,6 +89,10 @@
   revision @0 :UInt64;       # configuration by which the entry placed them
   epoch @1 :UInt64;
   starts @2 :List(Start);
+  agentMicros @3 :UInt64;
+  # Lower bound of the agent's clock when the entry placed the starts: the newest
+  # sentMicros of the agent and the time since it arrived. The agent refuses
+  # starts that have been on their way for too long; 0: not known.
 }
 
 struct ResourceAmount {
@@ -175,4 +180,5 @@
   results @0 :List(TaskResult);
   status @1 :MinionStatus;
   config @2 :Config;         # set if the agent has a newer one than the entry
+  sentMicros @3 :UInt64;     # on the agent's steady clock; 0: not known
 }
--- a/src/jayrill/rpc/dispatch.capnp.h
+++ b/src/jayrill/rpc/dispatch.capnp.h
@@ -427,7 +427,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fcc843daa4888adb, 4, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(fcc843daa4888adb, 5, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -472,7 +472,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(86a0811cd61eaef6, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(86a0811cd61eaef6, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -551,7 +551,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(afe8b594b97d90a7, 0, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(afe8b594b97d90a7, 1, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2247,6 +2247,8 @@
   inline bool hasStatus() const;
   inline  ::jayrill::wire::MinionStatus::Reader getStatus() const;
 
+  inline  ::uint64_t getSentMicros() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2329,6 +2331,9 @@
   inline void adoptStatus(::capnp::Orphan< ::jayrill::wire::MinionStatus>&& value);
   inline ::capnp::Orphan< ::jayrill::wire::MinionStatus> disownStatus();
 
+  inline  ::uint64_t getSentMicros();
+  inline void setSentMicros( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2574,6 +2579,8 @@
   inline bool hasStarts() const;
   inline  ::capnp::List< ::jayrill::wire::Start,  ::capnp::Kind::STRUCT>::Reader getStarts() const;
 
+  inline  ::uint64_t getAgentMicros() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2615,6 +2622,9 @@
   inline void adoptStarts(::capnp::Orphan< ::capnp::List< ::jayrill::wire::Start,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::jayrill::wire::Start,  ::capnp::Kind::STRUCT>> disownStarts();
 
+  inline  ::uint64_t getAgentMicros();
+  inline void setAgentMicros( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3204,6 +3214,8 @@
   inline bool hasConfig() const;
   inline  ::jayrill::wire::Config::Reader getConfig() const;
 
+  inline  ::uint64_t getSentMicros() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3253,6 +3265,9 @@
   inline void adoptConfig(::capnp::Orphan< ::jayrill::wire::Config>&& value);
   inline ::capnp::Orphan< ::jayrill::wire::Config> disownConfig();
 
+  inline  ::uint64_t getSentMicros();
+  inline void setSentMicros( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4195,6 +4210,20 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t AgentHello::Reader::getSentMicros() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AgentHello::Builder::getSentMicros() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void AgentHello::Builder::setSentMicros( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool EntryWelcome::Reader::hasConfig() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4420,6 +4449,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t StartBatch::Reader::getAgentMicros() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StartBatch::Builder::getAgentMicros() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void StartBatch::Builder::setAgentMicros( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t ResourceAmount::Reader::getCpuMillis() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -5307,6 +5350,20 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t AgentReport::Reader::getSentMicros() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AgentReport::Builder::getSentMicros() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void AgentReport::Builder::setSentMicros( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/jayrill/session.h
+++ b/src/jayrill/session.h
@@ -3,10 +3,11 @@
 
 /// \file
 /// Umbrella header of the session module: numbering and fencing of starts
-/// between one entry incarnation and one agent incarnation, and detection of a
-/// paused process.
+/// between one entry incarnation and one agent incarnation, the age of
+/// messages, and detection of a paused process.
 
 #include "jayrill/session/pause_detector.h"
+#include "jayrill/session/peer_clock.h"
 #include "jayrill/session/start_gate.h"
 #include "jayrill/session/start_window.h"
 
--- a/tests/entry/fake_cluster.h
+++ b/tests/entry/fake_cluster.h
@@ -106,6 +106,7 @@
     }
     if (fake_agent* const agent = AgentOf(handle)) {
       sent.emplace_back(agent, batch.starts.size());
+      sent_agent_times.push_back(batch.agent_time);
       agent->EnqueueBatch(std::move(batch));
     }
   }
@@ -151,6 +152,7 @@
   std::uint64_t last_job = 0;
   std::size_t cancelled = 0;
   std::vector<std::pair<fake_agent*, std::size_t>> sent;
+  std::vector<std::chrono::microseconds> sent_agent_times;  ///< Of batches.
   std::set<job_id> sent_jobs;  ///< Jobs of which a start was sent.
   std::vector<std::pair<agent_handle, std::uint64_t>> pushes;
   std::map<job_id, std::vector<decision>> decisions;
--- a/tests/integration/fake_entry.cc
+++ b/tests/integration/fake_entry.cc
@@ -63,6 +63,7 @@
       const std::lock_guard<std::mutex> lock(state_.entry.mutex_);
       record& recorded = state_.entry.record_;
       ++recorded.reports;
+      recorded.report_sent_micros = report.getSentMicros();
       recorded.status = Decode(report.getStatus());
       for (const auto result : report.getResults()) {
         const task_result decoded = Decode(result);
@@ -108,6 +109,7 @@
       record& recorded = state_.entry.record_;
       recorded.hellos.push_back({state_.epoch, {hello.getLastAccepted()}});
       recorded.hello_configs.push_back({hello.getConfig().getRevision()});
+      recorded.hello_sent_micros = hello.getSentMicros();
       recorded.status = Decode(hello.getStatus());
     }
     auto results = context.getResults();
@@ -184,6 +186,9 @@
       wire.setRevision(batch.revision.value);
       wire.setEpoch(batch.epoch.value != 0 ? batch.epoch.value
                                            : own.epoch.value);
+      if (batch.placed) {
+        wire.setAgentMicros(EncodeClock(*batch.placed));
+      }
       auto starts = wire.initStarts(static_cast<unsigned>(batch.starts.size()));
       unsigned index = 0;
       for (const start_request& order : batch.starts) {
--- a/tests/integration/fake_entry.h
+++ b/tests/integration/fake_entry.h
@@ -32,6 +32,9 @@
     minion_status status;
     config_revision newest_config;
     std::uint64_t reports = 0;
+    /// The agent's times in the newest hello and in the newest report.
+    std::uint64_t hello_sent_micros = 0;
+    std::uint64_t report_sent_micros = 0;
     int goodbyes = 0;
   };
 
--- a/tests/scenario/prelude.lua
+++ b/tests/scenario/prelude.lua
@@ -122,7 +122,8 @@
   return link
 end
 
--- Starts an entry. Fields: id, data_centre, store (address), strategy. Agents
+-- Starts an entry. Fields: id, data_centre, store (address), strategy,
+-- repeat_after_ms. Agents
 -- reach it through `agent_link`, and it reaches the store through `store_link`.
 function start_entry(fields)
   local http, rpc = address(), address()
@@ -133,6 +134,7 @@
     "--rpc_advertise=" .. agent_link.address,
     "--store_endpoints=" .. store_link.address,
     "--placement_strategy=" .. (fields.strategy or "jayrill"),
+    "--repeat_after_ms=" .. (fields.repeat_after_ms or 0),
   }
   return start("entry " .. fields.id, host.jayrill, arguments,
     { "JAYRILL_OPERATOR_SECRET=" .. secret },
@@ -144,7 +146,8 @@
 -- Waits until the entry takes jobs.
 function await_ready(entry) await_status(entry, "/readyz", 200) end
 
--- Starts an agent. Fields: id, data_centre, entries (list of RPC addresses).
+-- Starts an agent. Fields: id, data_centre, entries (list of RPC addresses),
+-- repeat_after_ms.
 function start_agent(fields)
   local http = address()
   return start("agent " .. fields.id, host.jayrill, {
@@ -152,6 +155,7 @@
     "--worker=" .. (fields.worker or ("worker-" .. fields.id)),
     "--rack=" .. (fields.rack or "rack1"),
     "--announce_listen=" .. http, "--entries=" .. table.concat(fields.entries, ","),
+    "--repeat_after_ms=" .. (fields.repeat_after_ms or 0),
   }, {}, { http = http, agent_id = fields.id })
 end
 
@@ -177,14 +181,15 @@
 end
 
 -- Starts a store, entries and agents with backends. Fields: entries (number),
--- agents (number), slots, data_centres (list; entries and agents in turn).
+-- agents (number), slots, data_centres (list; entries and agents in turn),
+-- repeat_after_ms.
 function start_cluster(fields)
   local dcs = fields.data_centres or { "dc1", "dc2", "dc3" }
   local cluster = { store = start_store(), entries = {}, agents = {}, backends = {} }
   for i = 1, fields.entries or 3 do
     cluster.entries[i] = start_entry({
       id = "e" .. i, data_centre = dcs[(i - 1) % #dcs + 1], store = cluster.store.http,
-      strategy = fields.strategy,
+      strategy = fields.strategy, repeat_after_ms = fields.repeat_after_ms,
     })
   end
   cluster.rpc = {}
@@ -192,6 +197,7 @@
   for i = 1, fields.agents or 3 do
     cluster.agents[i] = start_agent({
       id = "a" .. i, data_centre = dcs[(i - 1) % #dcs + 1], entries = cluster.rpc,
+      repeat_after_ms = fields.repeat_after_ms,
     })
     cluster.backends[i] = start_backend({
       agent = cluster.agents[i], slots = fields.slots, slowness = (fields.slowness or {})[i],
--- a/tests/unit/agent_core_rig.h
+++ b/tests/unit/agent_core_rig.h
@@ -20,11 +20,13 @@
 /// Records the requests of the core.
 struct recording_host : agent_core::host {
   void Call(task_call call) override { calls.push_back(std::move(call)); }
+  void StopCall(std::uint64_t call) override { stopped.push_back(call); }
   void ResultReady(incarnation) override {}
   void StatusChanged() override {}
   void PauseDetected() override { ++pauses; }
 
   std::deque<task_call> calls;
+  std::vector<std::uint64_t> stopped;
   int pauses = 0;
 };
 
@@ -64,7 +66,8 @@
 /// An agent core with configuration revision 5, an announced minion with one
 /// slot and a connected session with kEntry.
 struct core_rig {
-  core_rig() {
+  explicit core_rig(const agent_settings& settings = Settings())
+      : core(settings, time, host) {
     core.OfferConfig(Config(5));
     core.Announce(Minion(1));
     epoch = core.Connect(kEntry).epoch;
@@ -87,7 +90,7 @@
 
   manual_clock time;
   recording_host host;
-  agent_core core{Settings(), time, host};
+  agent_core core;
   connection_epoch epoch;
 };
 
