Resume only the session that the agent knows

An agent kept the starts of a session that its entry had closed. Callers had got a 504 for their jobs and submitted them again, while the starts of the first submission waited at the agent or ran.

Cause: when the agent connects after its session was closed, the entry opens a new one and answers "not resumed". If that answer is lost with the connection, the next hello finds the new session open, so the entry answers "resumed". The agent takes this for the closed session, of which it still holds starts and results.

Fix: sessions have numbers. The answer to the hello names the session, and the next hello names the one of the last answer that the agent has received. The entry resumes only on a match. Otherwise it closes the session that the agent does not know and opens another one: the agent admits starts only after an answer, so all starts of that session have numbers above the last accepted one and are fenced; they did not run. The number is the id of the connection that opened the session, which one incarnation of the entry uses only once. A count in the session record would start again after the entry has removed the agent. A hello without a number, from an earlier release or from an agent that has had no answer yet, is resumed as before; an agent without an answer holds no starts of the entry.

Ruled out: start numbers and epochs do not tell the sessions apart. Both go on, so that a start number is never reused.

--- a/src/jayrill/agent/agent_core.cc
+++ b/src/jayrill/agent/agent_core.cc
@@ -106,7 +106,9 @@
   return sessions_[entry].Connect();
 }
 
-void agent_core::Welcome(incarnation entry, bool resumed) {
+void agent_core::Welcome(incarnation entry,
+                         bool resumed,
+                         session_number session) {
   if (!resumed) {
     // The entry has already reported the starts of the old session as lost, so
     // they must not run.
@@ -115,7 +117,7 @@
     StopRuns([entry](const running_call& run) { return run.entry == entry; });
     host_.StatusChanged();
   }
-  counters_.dropped_results += sessions_[entry].Welcome(resumed);
+  counters_.dropped_results += sessions_[entry].Welcome(resumed, session);
 }
 
 void agent_core::Disconnect(incarnation entry, connection_epoch epoch) {
--- a/src/jayrill/agent/agent_core.h
+++ b/src/jayrill/agent/agent_core.h
@@ -86,9 +86,10 @@
   /// \returns the session state to send in the hello.
   entry_session::opening Connect(incarnation entry);
 
-  /// \p entry has answered the hello. Unless it \p resumed the session, the
-  /// queued and running starts of the old session are withdrawn and stopped.
-  void Welcome(incarnation entry, bool resumed);
+  /// \p entry has answered the hello with \p session. Unless it \p resumed the
+  /// session, the queued and running starts of the old session are withdrawn
+  /// and stopped.
+  void Welcome(incarnation entry, bool resumed, session_number session = {});
 
   /// The connection \p epoch of \p entry has ended. Ignored when a newer
   /// connection has replaced it.
--- a/src/jayrill/agent/entry_link.cc
+++ b/src/jayrill/agent/entry_link.cc
@@ -165,6 +165,7 @@
   hello.setRack(settings.rack);
   hello.setEpoch(open.epoch.value);
   hello.setLastAccepted(open.last_accepted.value);
+  hello.setSession(open.session.value);
   Encode(context_.core.config(), hello.initConfig());
   Encode(context_.core.Status(), hello.initStatus());
   hello_sent_at_ = context_.time.Now();
@@ -190,7 +191,8 @@
   entry_revision_ = std::max(
       entry_revision_, config_revision{welcome.getConfig().getRevision()});
   context_.core.OfferConfig(DecodeConfig(welcome.getConfig()));
-  context_.core.Welcome(entry_, welcome.getResumed());
+  context_.core.Welcome(entry_, welcome.getResumed(),
+                        session_number{welcome.getSession()});
   handshake_done_ = true;
   SetListedEntries(welcome.getEntries());
   for (const start_batch& batch : std::exchange(early_batches_, {})) {
--- a/src/jayrill/agent/entry_session.cc
+++ b/src/jayrill/agent/entry_session.cc
@@ -9,11 +9,12 @@
 entry_session::opening entry_session::Connect() {
   gate_.Reconnect();
   connected_ = true;
-  return {epoch(), gate_.last_accepted()};
+  return {epoch(), gate_.last_accepted(), number_};
 }
 
-std::size_t entry_session::Welcome(bool resumed) {
+std::size_t entry_session::Welcome(bool resumed, session_number session) {
   lost_ = false;
+  number_ = session;
   if (resumed) {
     return 0;
   }
--- a/src/jayrill/agent/entry_session.h
+++ b/src/jayrill/agent/entry_session.h
@@ -12,6 +12,7 @@
 #include "jayrill/base/clock.h"
 #include "jayrill/base/ids.h"
 #include "jayrill/job/task_result.h"
+#include "jayrill/session/session_number.h"
 #include "jayrill/session/start_gate.h"
 
 namespace jayrill {
@@ -26,6 +27,7 @@
   struct opening {
     connection_epoch epoch;
     start_number last_accepted;
+    session_number session = {};  ///< Of the last answer; 0: none.
 
     auto operator<=>(const opening&) const = default;
   };
@@ -33,10 +35,11 @@
   /// Begins a new connection; starts of earlier ones are fenced from now on.
   opening Connect();
 
-  /// The entry has answered the hello. Unless it \p resumed the session, a new
-  /// one begins: start numbers begin at 1 and the old results are dropped.
+  /// The entry has answered the hello with \p session. Unless it \p resumed the
+  /// session, a new one begins: start numbers begin at 1 and the old results
+  /// are dropped.
   /// \returns the number of dropped results.
-  std::size_t Welcome(bool resumed);
+  std::size_t Welcome(bool resumed, session_number session);
 
   /// The connection has ended; unacknowledged results are sent again on the
   /// next one.
@@ -91,6 +94,7 @@
 
  private:
   start_gate gate_;
+  session_number number_;  // By the last answer of the entry.
   // Highest epoch of the sessions that the entry has closed. The gate of each
   // session counts from 1; the sum of both grows for as long as the agent runs.
   connection_epoch epoch_base_;
--- a/src/jayrill/entry/agent_hello.h
+++ b/src/jayrill/entry/agent_hello.h
@@ -6,6 +6,7 @@
 
 #include "jayrill/base/ids.h"
 #include "jayrill/job/task_result.h"
+#include "jayrill/session/session_number.h"
 
 namespace jayrill {
 
@@ -25,6 +26,7 @@
   std::string rack;
   connection_epoch epoch;
   start_number last_accepted;
+  session_number session;  ///< That the agent knows; 0: not known.
   minion_status status;
   /// When the agent sent it, on its steady clock; zero: not known.
   std::chrono::microseconds sent{};
--- a/src/jayrill/entry/agent_session.cc
+++ b/src/jayrill/entry/agent_session.cc
@@ -85,9 +85,16 @@
     return std::nullopt;
   }
   effect.fenced = std::move(*fenced);
+  const bool is_known = hello.session.value == 0 || hello.session == number_;
+  if (open_ && !is_known) {
+    // The agent has admitted none of its starts, so all of them were fenced.
+    const std::vector<task_ref> rest = Close();
+    effect.lost.insert(effect.lost.end(), rest.begin(), rest.end());
+  }
   effect.resumed = open_;
   ForgetStarts(hello.last_accepted);
   if (!open_) {
+    number_ = session_number{connection.value};
     joined_ = needs_slow_start ? now : now - slow_start_;
     backoff_until_ = now;
   }
@@ -102,6 +109,7 @@
   expected_push_ = 0;
   OnAgentTime(hello.sent, now);
   SetStatus(hello.status, now);
+  effect.session = number_;
   return effect;
 }
 
--- a/src/jayrill/entry/agent_session.h
+++ b/src/jayrill/entry/agent_session.h
@@ -34,6 +34,7 @@
   /// The effect of a new connection on the starts that were sent before.
   struct connect_effect {
     bool resumed = false;
+    session_number session;
     std::vector<task_ref> fenced;  ///< Did not run and will not.
     std::vector<task_ref> lost;    ///< May have run.
   };
@@ -47,8 +48,10 @@
         agent_id_(std::move(agent_id)),
         slow_start_(slow_start) {}
 
-  /// Opens or resumes the session on \p connection. \p needs_slow_start: a
-  /// minion that joins gets a slow start.
+  /// Opens or resumes the session on \p connection. Resumes only the one that
+  /// the agent knows: if the answer to its last hello was lost, it may still
+  /// hold starts of a session that was closed. \p needs_slow_start: a minion
+  /// that joins gets a slow start.
   /// \returns nothing when the epoch is not newer than the current one.
   std::optional<connect_effect> Connect(const agent_hello& hello,
                                         connection_id connection,
@@ -189,6 +192,7 @@
   agent_hello hello_;
   start_window window_;
   peer_clock agent_clock_;
+  session_number number_;  ///< Is the id of the connection that opened it.
   connection_id connection_;
   /// What is expected of an outstanding start. Its remaining time is never
   /// estimated as less than min_remaining.
--- a/src/jayrill/entry/dispatcher.cc
+++ b/src/jayrill/entry/dispatcher.cc
@@ -112,7 +112,8 @@
   if (effect->resumed && session.outstanding() > 0) {
     cancels_due_.insert(session.handle());
   }
-  return connect_reply{session.handle(), connection, effect->resumed};
+  return connect_reply{session.handle(), connection, effect->resumed,
+                       effect->session};
 }
 
 void dispatcher::OnDisconnect(agent_handle agent, connection_id connection) {
--- a/src/jayrill/entry/dispatcher.h
+++ b/src/jayrill/entry/dispatcher.h
@@ -55,6 +55,7 @@
     agent_handle agent;
     connection_id connection;
     bool resumed = false;
+    session_number session;
   };
 
   dispatcher(std::string data_centre,
--- a/src/jayrill/entry/entry_port_server.cc
+++ b/src/jayrill/entry/entry_port_server.cc
@@ -22,6 +22,7 @@
   hello.epoch = connection_epoch{wire.getEpoch()};
   hello.last_accepted = start_number{wire.getLastAccepted()};
   hello.status = Decode(wire.getStatus());
+  hello.session = session_number{wire.getSession()};
   hello.sent = DecodeClock(wire.getSentMicros());
   return hello;
 }
@@ -62,6 +63,7 @@
   welcome.setStatusMs(
       static_cast<std::uint32_t>(server.status_interval().count()));
   welcome.setResumed(reply->resumed);
+  welcome.setSession(reply->session.value);
   results.setSession(kj::heap<entry_session_server>(connection_));
   server.ScheduleFlush();
   return kj::READY_NOW;
--- a/src/jayrill/rpc/dispatch.capnp
+++ b/src/jayrill/rpc/dispatch.capnp
@@ -69,6 +69,8 @@
   config @8 :Config;         # newest configuration of the agent, or empty
   status @9 :MinionStatus;
   sentMicros @10 :UInt64;    # as in AgentReport
+  session @11 :UInt64;       # of the last welcome that the agent has received
+                             # from this entry; 0: not known
 }
 
 struct EntryWelcome {
@@ -78,6 +80,7 @@
   resumed @3 :Bool;          # false: the entry does not know the session, and
                              # the agent drops its unacknowledged results
   statusMs @4 :UInt32;       # shortest time between two reports without results
+  session @5 :UInt64;        # names the session among those of the entry
 }
 
 struct Config {
--- a/src/jayrill/rpc/dispatch.capnp.h
+++ b/src/jayrill/rpc/dispatch.capnp.h
@@ -427,7 +427,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fcc843daa4888adb, 5, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(fcc843daa4888adb, 6, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -442,7 +442,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9314e51a09c847cb, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(9314e51a09c847cb, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2249,6 +2249,8 @@
 
   inline  ::uint64_t getSentMicros() const;
 
+  inline  ::uint64_t getSession() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2334,6 +2336,9 @@
   inline  ::uint64_t getSentMicros();
   inline void setSentMicros( ::uint64_t value);
 
+  inline  ::uint64_t getSession();
+  inline void setSession( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2391,6 +2396,8 @@
 
   inline  ::uint32_t getStatusMs() const;
 
+  inline  ::uint64_t getSession() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2442,6 +2449,9 @@
   inline  ::uint32_t getStatusMs();
   inline void setStatusMs( ::uint32_t value);
 
+  inline  ::uint64_t getSession();
+  inline void setSession( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4224,6 +4234,20 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t AgentHello::Reader::getSession() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AgentHello::Builder::getSession() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void AgentHello::Builder::setSession( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool EntryWelcome::Reader::hasConfig() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4339,6 +4363,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t EntryWelcome::Reader::getSession() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t EntryWelcome::Builder::getSession() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void EntryWelcome::Builder::setSession( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Config::Reader::getRevision() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/jayrill/session.h
+++ b/src/jayrill/session.h
@@ -8,6 +8,7 @@
 
 #include "jayrill/session/pause_detector.h"
 #include "jayrill/session/peer_clock.h"
+#include "jayrill/session/session_number.h"
 #include "jayrill/session/start_gate.h"
 #include "jayrill/session/start_window.h"
 
--- a/tests/entry/dispatch_service_test.cc
+++ b/tests/entry/dispatch_service_test.cc
@@ -115,6 +115,21 @@
   EXPECT_EQ(agent.executions(), 20U);
 }
 
+// Guards against an entry that resumes a session other than the one that the
+// agent knows, and against one that no longer resumes the one that it knows.
+TEST_F(dispatch_service_test, ResumesOnlyTheSessionThatTheAgentKnows) {
+  echo_agent agent(io_, port_, "agent-1");
+  agent.Connect();
+  const std::uint64_t first = agent.known_session();
+  EXPECT_GT(first, 0U);
+  agent.SetKnownSession(first + 1000);
+  EXPECT_FALSE(agent.Connect());
+  EXPECT_GT(agent.known_session(), first);
+  EXPECT_TRUE(agent.Connect());
+  agent.SetKnownSession(0);  // An agent of an earlier release.
+  EXPECT_TRUE(agent.Connect());
+}
+
 // Guards against a start that is sent after it was cancelled. A batch waits at
 // the entry while many calls to its agent are unanswered, and a cancel that
 // goes out before it has no effect there.
--- a/tests/entry/dispatcher_property_test.cc
+++ b/tests/entry/dispatcher_property_test.cc
@@ -151,6 +151,9 @@
       case 12:
         agent.ReportLate(cluster_.entry);
         break;
+      case 13:
+        agent.ConnectWithoutAnswer(cluster_.entry);
+        break;
       default:
         if (!agent.connected()) {
           agent.Connect(cluster_.entry);
@@ -222,8 +225,8 @@
 // Guards against tasks that run twice, jobs that are decided never, twice or
 // late, jobs reported as not run that have run, answers that are partial, out
 // of order or of another job, and a configuration that reverts. Faults: lost
-// connections, lost and repeated messages, replaced agents, pauses of the
-// entry, cancels and changes of the configuration.
+// connections, lost and repeated messages, lost answers to hellos, replaced
+// agents, pauses of the entry, cancels and changes of the configuration.
 RC_GTEST_PROP(dispatcher_property, KeepsItsGuarantees, (std::uint64_t seed)) {
   random_run run(seed, "jayrill");
   run.Run(1000);
--- a/tests/entry/echo_agent.h
+++ b/tests/entry/echo_agent.h
@@ -36,13 +36,21 @@
     hello.setDataCentre("dc1");
     hello.setEpoch(gate_.Reconnect().value);
     hello.setLastAccepted(gate_.last_accepted().value);
+    hello.setSession(session_number_);
     Encode(Status(), hello.initStatus());
     request.setAgent(kj::heap<port_server>(*this));
     auto reply = request.send().wait(io_.waitScope);
     session_ = reply.getSession();
+    session_number_ = reply.getWelcome().getSession();
     return reply.getWelcome().getResumed();
   }
 
+  /// Makes the next hello name \p session, which may be one that was closed.
+  void SetKnownSession(std::uint64_t session) { session_number_ = session; }
+
+  /// \returns the number of the session by the last answer of the entry.
+  std::uint64_t known_session() const { return session_number_; }
+
   /// Makes has_results return false while \p held is true.
   void HoldResults(bool held) { holds_results_ = held; }
 
@@ -152,6 +160,7 @@
   std::string id_;
   start_gate gate_;
   std::uint64_t revision_ = 0;
+  std::uint64_t session_number_ = 0;
   std::vector<task_result> results_;
   std::size_t executions_ = 0;
   job_id last_job_;
--- a/tests/entry/fake_agent.h
+++ b/tests/entry/fake_agent.h
@@ -50,6 +50,7 @@
     const auto reply = entry.Connect(hello_);
     if (reply) {
       connection_ = *reply;
+      hello_.session = reply->session;
       Receive(entry.config());
       if (!reply->resumed) {
         results_.clear();
@@ -60,6 +61,14 @@
     return reply.has_value();
   }
 
+  /// Sends a hello; the answer of the entry is lost with the connection.
+  void ConnectWithoutAnswer(dispatcher& entry) {
+    connection_.reset();
+    hello_.epoch = gate_.Reconnect();
+    hello_.last_accepted = gate_.last_accepted();
+    entry.Connect(hello_);
+  }
+
   /// Closes the connection; the entry is told only if \p entry_notices.
   void Cut(dispatcher& entry, bool entry_notices) {
     if (connection_ && entry_notices) {
@@ -74,6 +83,7 @@
       late_report_ = {connection_, results_};
     }
     ++hello_.process.value;
+    hello_.session = {};
     gate_ = start_gate();
     connection_.reset();
     inbox_.clear();
--- a/tests/integration/fake_entry.cc
+++ b/tests/integration/fake_entry.cc
@@ -46,6 +46,7 @@
   connection_epoch epoch;
   config_copy config;
   bool resumed = false;
+  session_number session;
   bool hold_acknowledgements = false;
   kj::Own<kj::PromiseFulfiller<void>> end_fulfiller;
   kj::Own<kj::TaskSet> connections;
@@ -107,7 +108,8 @@
     {
       const std::lock_guard<std::mutex> lock(state_.entry.mutex_);
       record& recorded = state_.entry.record_;
-      recorded.hellos.push_back({state_.epoch, {hello.getLastAccepted()}});
+      recorded.hellos.push_back(
+          {state_.epoch, {hello.getLastAccepted()}, {hello.getSession()}});
       recorded.hello_configs.push_back({hello.getConfig().getRevision()});
       recorded.hello_sent_micros = hello.getSentMicros();
       recorded.status = Decode(hello.getStatus());
@@ -118,6 +120,7 @@
     welcome.getConfig().setPacked(ToData(state_.config.packed));
     welcome.setHeartbeatMs(1000);
     welcome.setResumed(state_.resumed);
+    welcome.setSession(state_.session.value);
     results.setSession(kj::heap<session>(state_));
     return kj::READY_NOW;
   }
@@ -234,10 +237,13 @@
   });
 }
 
-void fake_entry::SetWelcome(const config_copy& config, bool resumed) {
-  Post([config, resumed](state& own) {
+void fake_entry::SetWelcome(const config_copy& config,
+                            bool resumed,
+                            session_number number) {
+  Post([config, resumed, number](state& own) {
     own.config = config;
     own.resumed = resumed;
+    own.session = number;
   });
 }
 
--- a/tests/integration/fake_entry.h
+++ b/tests/integration/fake_entry.h
@@ -54,7 +54,9 @@
   void Heartbeat(const std::vector<std::string>& entries);
 
   /// Sets the contents of all later welcomes.
-  void SetWelcome(const config_copy& config, bool resumed);
+  void SetWelcome(const config_copy& config,
+                  bool resumed,
+                  session_number number = {});
   /// While set, reports are recorded but not acknowledged.
   void HoldAcknowledgements(bool hold_acknowledgements);
   /// Closes all connections. Agents can dial again.
