Check the age of starts that have waited at the entry

A batch that waits in the entry behind calls without an answer has to keep the time at which its starts were placed. If the time were taken when the message is built, the start would look new to the agent after any wait.

No fault was found.

--- a/tests/entry/dispatch_service_test.cc
+++ b/tests/entry/dispatch_service_test.cc
@@ -158,6 +158,37 @@
   RunUntil(agent, [this] { return OutstandingStarts() == waiting_job; });
 }
 
+// Guards against a start that looks new to its agent although it has waited at
+// the entry while many calls were unanswered.
+TEST_F(dispatch_service_test, StartThatHasWaitedHasItsAge) {
+  constexpr std::uint64_t kMaxCallsInFlight = 16;
+  const auto elapsed = [begin = std::chrono::steady_clock::now()] {
+    return std::chrono::steady_clock::now() - begin;
+  };
+  echo_agent agent(io_, port_, "agent-1");
+  agent.SetSlots(64);
+  agent.HoldAnswers(true);
+  agent.HoldResults(true);
+  agent.Connect();
+  for (std::uint64_t job = 1; job <= kMaxCallsInFlight; ++job) {
+    Submit(job, 1);
+    RunUntil(agent, [&] { return agent.executions() == job; });
+  }
+  Submit(kMaxCallsInFlight + 1, 1);
+  RunUntil(agent,
+           [this] { return OutstandingStarts() == kMaxCallsInFlight + 1; });
+  const auto placed_before = elapsed();
+  RunUntil(agent, [&] {
+    return elapsed() > placed_before + std::chrono::milliseconds(200);
+  });
+  agent.HoldAnswers(false);
+  RunUntil(agent, [&] { return agent.executions() > kMaxCallsInFlight; });
+  const std::chrono::microseconds age(agent.last_agent_micros() -
+                                      echo_agent::kHelloMicros);
+  EXPECT_GT(age.count(), 0);
+  EXPECT_LE(age, placed_before);
+}
+
 // Guards against a connection that sends nothing or garbage and so disturbs the
 // other connections.
 TEST_F(dispatch_service_test, SurvivesGarbage) {
--- a/tests/entry/echo_agent.h
+++ b/tests/entry/echo_agent.h
@@ -18,6 +18,9 @@
   echo_agent(kj::AsyncIoContext& io, std::uint16_t port, std::string id)
       : io_(io), port_(port), id_(std::move(id)) {}
 
+  /// The agent's time in its hellos. Its reports carry none.
+  static constexpr std::uint64_t kHelloMicros = 1'000'000'000;
+
   /// Connects, or connects again with a higher epoch.
   /// \returns true when the entry has resumed the session.
   bool Connect() {
@@ -37,6 +40,7 @@
     hello.setEpoch(gate_.Reconnect().value);
     hello.setLastAccepted(gate_.last_accepted().value);
     hello.setSession(session_number_);
+    hello.setSentMicros(kHelloMicros);
     Encode(Status(), hello.initStatus());
     request.setAgent(kj::heap<port_server>(*this));
     auto reply = request.send().wait(io_.waitScope);
@@ -81,6 +85,9 @@
     request.send().ignoreResult().wait(io_.waitScope);
   }
 
+  /// \returns the agent's time in the last batch of starts.
+  std::uint64_t last_agent_micros() const { return last_agent_micros_; }
+
   std::size_t executions() const { return executions_; }
   /// \returns the job of the last start that was executed.
   job_id last_job() const { return last_job_; }
@@ -138,6 +145,7 @@
   }
 
   void OnStarts(wire::StartBatch::Reader batch) {
+    last_agent_micros_ = batch.getAgentMicros();
     for (const auto wire : batch.getStarts()) {
       const start_request order = Decode(wire);
       if (gate_.Admit(connection_epoch{batch.getEpoch()}, order.number) !=
@@ -161,6 +169,7 @@
   start_gate gate_;
   std::uint64_t revision_ = 0;
   std::uint64_t session_number_ = 0;
+  std::uint64_t last_agent_micros_ = 0;
   std::vector<task_result> results_;
   std::size_t executions_ = 0;
   job_id last_job_;
