Report a stopped start as interrupted unless it was refused

Callers could be told 503 ("has not run and never will") for a task that ran or began later (rule REFUSED), and two runs of it could follow.

Cause: a start whose order had no answer was stopped, and once the stop was acknowledged and a later report did not list the run, it counted as not run. That proves that the run is over, not that it has not been: a renewal of an earlier life that is carried out late acknowledges ends of the new life that were never listed, and an order on its way survives a crash, which takes the fence of the stop with it.

Ruled out: lost answers, late orders, hangs and crashes each alone. The stand-in now also delays renewals, answers them with errors, lists few ends at a time, is out of reach until leases have passed, and restarts agents with a wall clock that has stepped back. Its monitor checks calls that were reported as not run as well.

Change: only a refusal of the minion, or a call that was never ordered, counts as not run. The task of a repeatable job may start again as before; a job that ends this way is answered with 504 in place of 503.

Class of fault: the absence of a run taken as proof that it has never been there.

--- a/src/jayrill/agent/leased_minion_reports.cc
+++ b/src/jayrill/agent/leased_minion_reports.cc
@@ -232,9 +232,10 @@
       serial > *run.last_report_before_stop &&
       time_.Now() - run.stop_acknowledged_at > settings_.stop_time;
   if (is_fenced) {
-    Finish(id,
-           MakeResult(run, run.has_run ? task_outcome::kInterrupted
-                                       : task_outcome::kNotRun),
+    // The order to start it was accepted or has no answer. Another request may
+    // have acknowledged the end of the run, and an order on its way survives a
+    // crash of the minion, so this does not prove that it has not run.
+    Finish(id, MakeResult(run, task_outcome::kInterrupted),
            end_proof::kStopAcknowledged);
   } else if (run.state == run_state::kRunning &&
              serial > run.last_report_before_start) {
--- a/tests/support/minion_standin.h
+++ b/tests/support/minion_standin.h
@@ -2,6 +2,7 @@
 #define TESTS_SUPPORT_MINION_STANDIN_H_
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -16,24 +17,37 @@
 
 namespace jayrill {
 
-/// Counts the active runs of each task on all minions and how often a run has
-/// begun while another one of its task was active.
+/// Counts on all minions how often a run has begun while another one of its
+/// task was active, and how many calls have begun although they were reported
+/// as not run. The payload of an order names its call.
 class run_monitor {
  public:
   using task_key = std::pair<std::string, std::uint32_t>;
 
-  void Begin(const run_name& run) {
+  void Begin(const run_name& run, const std::string& call) {
     if (++active_[task_key(run.job, run.task)] > 1) {
       ++overlaps_;
     }
+    begun_.insert(call);
+    broken_promises_ += promised_.contains(call) ? 1 : 0;
   }
   void End(const run_name& run) { --active_[task_key(run.job, run.task)]; }
 
+  /// \p call was reported as not run, now or later.
+  void Promise(const std::string& call) {
+    promised_.insert(call);
+    broken_promises_ += begun_.contains(call) ? 1 : 0;
+  }
+
   int overlaps() const { return overlaps_; }
+  int broken_promises() const { return broken_promises_; }
 
  private:
   std::map<task_key, int> active_;
+  std::set<std::string> begun_;
+  std::set<std::string> promised_;
   int overlaps_ = 0;
+  int broken_promises_ = 0;
 };
 
 /// Shares of the orders and runs with a fault, in percent.
@@ -43,6 +57,13 @@
   std::uint64_t late_orders = 0;
   std::uint64_t failures = 0;  ///< The run fails.
   std::uint64_t hangs = 0;     ///< The run makes no progress.
+  /// Renewals that are not answered, and carried out 2 to 12 s later.
+  std::uint64_t late_renewals = 0;
+  /// Renewals that are carried out and answered with an error.
+  std::uint64_t renewal_errors = 0;
+  /// Leases count from the arrival of a renewal, not up to the time it names.
+  bool leases_from_arrival = false;
+  std::size_t ends_per_report = 500;
 
   auto operator<=>(const minion_faults&) const = default;
 };
@@ -95,6 +116,10 @@
 
   void SetFaults(minion_faults faults) { faults_ = faults; }
 
+  /// While it is unreachable, no call is answered, and half of them are carried
+  /// out 2 to 12 s later.
+  void SetReachable(bool reachable) { reachable_ = reachable; }
+
   void SetMinion(const announcement& /*minion*/) override {}
 
   void Start(const run_order& order,
@@ -112,6 +137,18 @@
 
   void Renew(const renewal& request,
              std::function<void(result<run_report>)> done) override {
+    if (!reachable_ || random_.Below(100) < faults_.late_renewals) {
+      ApplyLate([this, request] { ApplyRenewal(request); });
+      timers_.After(kAnswerTimeout, [done] { done(NoAnswer()); });
+      return;
+    }
+    if (random_.Below(100) < faults_.renewal_errors) {
+      timers_.After(kRoundTrip, [this, request, done] {
+        ApplyRenewal(request);
+        done(MakeError(error_kind::kUnavailable, "status 500", "ask again"));
+      });
+      return;
+    }
     if (random_.Below(100) < faults_.lost_answers) {
       timers_.After(kRoundTrip, [this, request] { ApplyRenewal(request); });
       timers_.After(kAnswerTimeout, [done] { done(NoAnswer()); });
@@ -151,14 +188,22 @@
                                                    kClockRate);
   }
 
+  /// Carries a call out 2 to 12 s later, whether the minion has crashed
+  /// meanwhile or not; drops every second one of an unreachable minion.
+  void ApplyLate(std::function<void()> operation) {
+    const std::chrono::milliseconds delay(2000 + random_.Below(10'000));
+    if (reachable_ || random_.Below(2) == 0) {
+      timers_.After(delay, std::move(operation));
+    }
+  }
+
   /// Carries an order out and answers it, unless the draw says that it is late
   /// or that its answer is lost.
   void Deliver(std::function<order_answer()> operation,
                std::function<void(order_answer)> done) {
     const std::uint64_t draw = random_.Below(100);
-    if (draw < faults_.late_orders) {
-      const std::chrono::milliseconds delay(2000 + random_.Below(10'000));
-      timers_.After(delay, [operation] { operation(); });
+    if (!reachable_ || draw < faults_.late_orders) {
+      ApplyLate([operation] { operation(); });
       timers_.After(kAnswerTimeout, [done] { done(order_answer::kLost); });
     } else if (draw < faults_.late_orders + faults_.lost_answers) {
       timers_.After(kRoundTrip, [operation] { operation(); });
@@ -200,7 +245,7 @@
                                                     : run_end::kDone;
     run.hangs = random_.Below(100) < faults_.hangs;
     runs_.emplace(order.run, run);
-    monitor_.Begin(order.run);
+    monitor_.Begin(order.run, order.payload);
     return order_answer::kAccepted;
   }
 
@@ -233,7 +278,8 @@
       return end.sequence <= request.acknowledged;
     });
     if (request.lease_until) {
-      ExtendLease(*request.lease_until);
+      ExtendLease(faults_.leases_from_arrival ? Clock() + kMaxLease
+                                              : *request.lease_until);
     }
     return true;
   }
@@ -250,7 +296,10 @@
     run_report report;
     report.life = life_;
     report.clock = Clock();
-    report.ended = ended_;
+    report.ended.assign(
+        ended_.begin(),
+        ended_.begin() + static_cast<std::ptrdiff_t>(
+                             std::min(ended_.size(), faults_.ends_per_report)));
     for (const auto& [name, run] : runs_) {
       if (!run.stopping) {
         const auto percent =
@@ -298,6 +347,7 @@
   run_monitor& monitor_;
   minion_faults faults_;
   steady_time started_at_;
+  bool reachable_ = true;
   std::uint64_t life_ = 1;
   std::uint64_t token_ = 0;
   std::uint64_t sequence_ = 0;
--- a/tests/unit/leased_minion_test.cc
+++ b/tests/unit/leased_minion_test.cc
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "minion_standin.h"
 
@@ -23,13 +24,7 @@
     for (std::size_t i = 0; i < minions.size(); ++i) {
       minions[i] = std::make_unique<minion_standin>(
           time, timers, random_source(seed * 7 + i), monitor, faults);
-      agents[i] = std::make_unique<leased_minion>(
-          lease_settings{}, time, timers, *minions[i],
-          minion_port::listener{
-              [this](std::uint64_t call, task_result outcome) {
-                results[call] = std::move(outcome);
-              },
-              [this](std::uint64_t call) { OnFree(call); }});
+      agents[i] = MakeAgent(i, time);
     }
     Announce();
   }
@@ -40,6 +35,22 @@
     }
   }
 
+  /// Replaces an agent by one without memory, whose wall clock is an hour
+  /// behind. Callers submit the calls of the old one again after 1.3 s, as
+  /// docs/platform.md says.
+  void RestartAgent(std::size_t agent) {
+    clocks_.push_back(std::make_unique<late_clock>(time));
+    agents[agent] = MakeAgent(agent, *clocks_.back());
+    for (const auto& [call, owner] : std::map(owners_)) {
+      if (owner == agent) {
+        owners_.erase(call);
+        timers.After(milliseconds(1300),
+                     [this, task = tasks_[call]] { Start(PickAgent(), task); });
+      }
+    }
+    agents[agent]->OnAnnounced(minions[agent]->Announcement());
+  }
+
   std::uint64_t Start(std::size_t agent, std::uint32_t task) {
     task_call call;
     call.id = ++last_call_;
@@ -48,7 +59,9 @@
     call.order.attempt = ++attempts_[task];
     call.released = time.Now();
     call.deadline = time.Now() + std::chrono::minutes(5);
+    call.order.payload = std::to_string(call.id);
     tasks_[call.id] = task;
+    owners_[call.id] = agent;
     agents[agent]->Run(call);
     return call.id;
   }
@@ -66,33 +79,110 @@
   bool repeat = true;  ///< Start tasks again that did not succeed.
 
  private:
+  /// A clock whose wall-clock time is an hour behind that of another one.
+  class late_clock final : public clock {
+   public:
+    explicit late_clock(const clock& time) : time_(time) {}
+    steady_time Now() const override { return time_.Now(); }
+    wall_time WallNow() const override {
+      return time_.WallNow() - std::chrono::hours(1);
+    }
+
+   private:
+    const clock& time_;
+  };
+
+  std::unique_ptr<leased_minion> MakeAgent(std::size_t index,
+                                           const clock& agent_time) {
+    return std::make_unique<leased_minion>(
+        lease_settings{}, agent_time, timers, *minions[index],
+        minion_port::listener{[this](std::uint64_t call, task_result outcome) {
+                                if (outcome.outcome == task_outcome::kNotRun) {
+                                  monitor.Promise(std::to_string(call));
+                                }
+                                results[call] = std::move(outcome);
+                              },
+                              [this](std::uint64_t call) { OnFree(call); }});
+  }
+
   void OnFree(std::uint64_t call) {
+    owners_.erase(call);
     const std::uint32_t task = tasks_[call];
     if (results[call].outcome == task_outcome::kSucceeded) {
       done[task] = true;
     } else if (repeat) {
-      timers.After(milliseconds(0), [this, task] { Start(PickAgent(), task); });
+      // A refusal at once would otherwise be repeated without an end at the
+      // same time.
+      const milliseconds delay(
+          results[call].reason == not_run_reason::kNoMinion ? 10 : 0);
+      timers.After(delay, [this, task] { Start(PickAgent(), task); });
     }
   }
 
   random_source random_;
   std::uint64_t last_call_ = 0;
   std::map<std::uint64_t, std::uint32_t> tasks_;
+  std::map<std::uint64_t, std::size_t> owners_;  ///< Agents of open calls.
+  std::vector<std::unique_ptr<late_clock>> clocks_;
   std::map<std::uint32_t, std::uint32_t> attempts_;
 };
 
+/// Seconds between two disruptions on average; 0: none.
+struct disruption_rates {
+  std::uint64_t crash = 0;
+  /// The minion is unreachable for 1.2 to 3 s, so until its leases have passed.
+  std::uint64_t outage = 0;
+  /// The minion crashes within such an outage.
+  std::uint64_t outage_with_crash = 0;
+  std::uint64_t agent_restart = 0;
+};
+
 struct fault_case {
   std::string name;
   minion_faults faults;
-  bool crashes = false;
+  disruption_rates every;
 };
 
 class leased_minion_property_test : public testing::TestWithParam<fault_case> {
+ protected:
+  /// Begins the disruptions of one second.
+  static void Disrupt(leased_minion_fixture& fixture) {
+    const disruption_rates& every = GetParam().every;
+    const auto is_due = [&fixture](std::uint64_t seconds) {
+      return seconds > 0 && fixture.random().Below(seconds) == 0;
+    };
+    if (is_due(every.crash)) {
+      fixture.minions[fixture.PickAgent()]->Crash();
+    }
+    if (is_due(every.outage)) {
+      BeginOutage(fixture, false);
+    }
+    if (is_due(every.outage_with_crash)) {
+      BeginOutage(fixture, true);
+    }
+    if (is_due(every.agent_restart)) {
+      fixture.RestartAgent(fixture.PickAgent());
+    }
+  }
+
+ private:
+  static void BeginOutage(leased_minion_fixture& fixture, bool crashes) {
+    minion_standin* const minion = fixture.minions[fixture.PickAgent()].get();
+    minion->SetReachable(false);
+    const milliseconds duration(1200 + fixture.random().Below(1800));
+    fixture.timers.After(duration, [minion, crashes] {
+      if (crashes) {
+        minion->Crash();
+      }
+      minion->SetReachable(true);
+    });
+  }
 };
 
-// Guards against two runs of a task at the same time: after a lost answer, an
-// order that is carried out late, a stop in progress, an expired lease, or a
-// restart of the minion under the same name. Also against tasks that never end.
+// Guards against two runs of a task at the same time and against a call that is
+// reported as not run and runs: after a lost answer, a call that is carried out
+// late, a stop in progress, an expired lease, a restart of the minion under the
+// same name, or a restart of the agent. Also against tasks that never end.
 TEST_P(leased_minion_property_test, RunsNeverOverlapAndAllTasksEnd) {
   constexpr std::uint32_t kTasks = 12;
   constexpr std::uint64_t kSeeds = 40;
@@ -103,9 +193,7 @@
     }
     for (int second = 0; second < 20; ++second) {
       fixture.timers.RunFor(milliseconds(400 + fixture.random().Below(600)));
-      if (GetParam().crashes && fixture.random().Below(3) == 0) {
-        fixture.minions[fixture.PickAgent()]->Crash();
-      }
+      Disrupt(fixture);
       fixture.Announce();
     }
     for (auto& minion : fixture.minions) {
@@ -116,6 +204,7 @@
       fixture.Announce();
     }
     EXPECT_EQ(fixture.monitor.overlaps(), 0) << "seed " << seed;
+    EXPECT_EQ(fixture.monitor.broken_promises(), 0) << "seed " << seed;
     EXPECT_EQ(fixture.done.size(), kTasks) << "seed " << seed;
   }
 }
@@ -123,13 +212,44 @@
 INSTANTIATE_TEST_SUITE_P(
     faults,
     leased_minion_property_test,
-    testing::Values(fault_case{"none", {}, false},
-                    fault_case{"lost_answers", {.lost_answers = 30}, false},
-                    fault_case{"late_orders", {.late_orders = 20}, false},
-                    fault_case{"hangs", {.hangs = 30}, false},
-                    fault_case{"failures", {.failures = 50}, false},
-                    fault_case{"crashes", {}, true},
-                    fault_case{"all", {15, 10, 10, 10}, true}),
+    testing::Values(
+        fault_case{"none", {}, {}},
+        fault_case{"lost_answers", {.lost_answers = 30}, {}},
+        fault_case{"late_orders", {.late_orders = 20}, {}},
+        fault_case{"hangs", {.hangs = 30}, {}},
+        fault_case{"failures", {.failures = 50}, {}},
+        fault_case{"crashes", {}, {.crash = 3}},
+        fault_case{"all", {15, 10, 10, 10}, {.crash = 3}},
+        fault_case{"late_renewals", {.hangs = 30, .late_renewals = 30}, {}},
+        fault_case{"renewal_errors", {.renewal_errors = 40}, {}},
+        fault_case{"few_ends_listed",
+                   {.failures = 50, .ends_per_report = 1},
+                   {}},
+        fault_case{"outages_with_crashes",
+                   {.hangs = 30},
+                   {.outage_with_crash = 3}},
+        fault_case{"agent_restarts", {.hangs = 30}, {.agent_restart = 3}},
+        fault_case{"late_calls_and_crashes",
+                   {.late_orders = 20, .hangs = 30, .late_renewals = 20},
+                   {.crash = 3}},
+        fault_case{"late_calls_and_agent_restarts",
+                   {.late_orders = 20, .hangs = 30, .late_renewals = 20},
+                   {.agent_restart = 4}},
+        fault_case{"leases_from_arrival",
+                   {.late_orders = 10,
+                    .hangs = 30,
+                    .late_renewals = 30,
+                    .leases_from_arrival = true},
+                   {}},
+        fault_case{"everything",
+                   {.lost_answers = 10,
+                    .late_orders = 10,
+                    .failures = 10,
+                    .hangs = 10,
+                    .late_renewals = 10,
+                    .renewal_errors = 10,
+                    .ends_per_report = 2},
+                   {6, 6, 6, 6}}),
     [](const auto& param) { return param.param.name; });
 
 // Guards against a run that goes on after its agent was paused. Its caller may
