Keep calls with an open order when their lease has passed

Cause: when a minion did not answer and the lease of all orders had passed, the agent ended all calls. An order that had no answer may still be on its way. If the minion crashes and comes back under its name, its clock has started anew, so the lease of the order is no bar, and it has seen no fencing token. The entry has started the task elsewhere meanwhile.

Ruled out: outages and crashes without late calls; no row with those alone showed an overlap.

Change: this proof ends only calls whose run was confirmed. A call with an open order ends when the minion, or its next life, answers: a stop is acknowledged, or a report requested with a higher token does not list it.

Class of fault: a proof for runs applied to orders.

--- a/src/jayrill/agent/leased_minion.cc
+++ b/src/jayrill/agent/leased_minion.cc
@@ -287,7 +287,8 @@
   const steady_time now = time_.Now();
   if (!runs_.empty() && failed_reports_ >= kMaxRenewalFailures &&
       now > lease_end_) {
-    InterruptAllRuns("the lease has expired without an answer from the minion");
+    InterruptConfirmedRuns(
+        "the lease has expired without an answer from the minion");
   }
   std::vector<std::uint64_t> ids;
   for (const auto& [id, run] : runs_) {
--- a/src/jayrill/agent/leased_minion.h
+++ b/src/jayrill/agent/leased_minion.h
@@ -142,8 +142,10 @@
   void Refuse(const task_call& call,
               not_run_reason reason,
               const std::string& message);
-  /// Ends all calls as interrupted, after the lease has expired.
-  void InterruptAllRuns(const std::string& reason);
+  /// Ends the calls whose run was confirmed, after the lease has expired. An
+  /// order without an answer may still be on its way, and a minion that comes
+  /// back after a crash has neither its fence nor a clock that refuses it.
+  void InterruptConfirmedRuns(const std::string& reason);
   void BeginWaitingCalls();
   void Tick();
   /// Stops all runs after a pause of the process.
--- a/src/jayrill/agent/leased_minion_ends.cc
+++ b/src/jayrill/agent/leased_minion_ends.cc
@@ -1,6 +1,7 @@
 #include <glog/logging.h>
 
 #include <utility>
+#include <vector>
 
 #include "jayrill/agent/leased_minion.h"
 
@@ -82,17 +83,23 @@
   listener_.on_slot_free(call.id);
 }
 
-void leased_minion::InterruptAllRuns(const std::string& reason) {
-  if (!runs_.empty()) {
-    LOG(WARNING) << "lease: treating all runs as interrupted runs="
-                 << runs_.size() << " " << reason;
+void leased_minion::InterruptConfirmedRuns(const std::string& reason) {
+  std::vector<std::uint64_t> lapsed;
+  for (const auto& [id, run] : runs_) {
+    if (run.has_run) {
+      lapsed.push_back(id);
+    }
   }
-  for (auto& [id, run] : std::exchange(runs_, {})) {
+  if (!lapsed.empty()) {
+    LOG(WARNING) << "lease: treating runs as interrupted runs=" << lapsed.size()
+                 << " open_orders=" << runs_.size() - lapsed.size() << " "
+                 << reason;
+  }
+  for (const std::uint64_t id : lapsed) {
+    leased_run& run = runs_.at(id);
     run.reason = reason;
-    task_result result = MakeResult(run, task_outcome::kInterrupted);
-    LogEnd(run, result, end_proof::kLeasePassed, std::nullopt);
-    listener_.on_result(id, std::move(result));
-    listener_.on_slot_free(id);
+    Finish(id, MakeResult(run, task_outcome::kInterrupted),
+           end_proof::kLeasePassed);
   }
 }
 
--- a/tests/unit/leased_minion_test.cc
+++ b/tests/unit/leased_minion_test.cc
@@ -225,6 +225,7 @@
         fault_case{"few_ends_listed",
                    {.failures = 50, .ends_per_report = 1},
                    {}},
+        fault_case{"outages", {.hangs = 30}, {.outage = 3}},
         fault_case{"outages_with_crashes",
                    {.hangs = 30},
                    {.outage_with_crash = 3}},
@@ -232,6 +233,9 @@
         fault_case{"late_calls_and_crashes",
                    {.late_orders = 20, .hangs = 30, .late_renewals = 20},
                    {.crash = 3}},
+        fault_case{"late_calls_and_outages",
+                   {.late_orders = 20, .hangs = 30, .late_renewals = 20},
+                   {.outage = 4, .outage_with_crash = 4}},
         fault_case{"late_calls_and_agent_restarts",
                    {.late_orders = 20, .hangs = 30, .late_renewals = 20},
                    {.agent_restart = 4}},
@@ -241,6 +245,12 @@
                     .late_renewals = 30,
                     .leases_from_arrival = true},
                    {}},
+        fault_case{"leases_from_arrival_and_outages",
+                   {.late_orders = 10,
+                    .hangs = 30,
+                    .late_renewals = 30,
+                    .leases_from_arrival = true},
+                   {.outage = 4}},
         fault_case{"everything",
                    {.lost_answers = 10,
                     .late_orders = 10,
@@ -283,6 +293,25 @@
   EXPECT_EQ(fixture.results[call].outcome, task_outcome::kInterrupted);
 }
 
+// Guards against a call that ends when the lease has passed although its order
+// had no answer. The minion may crash and carry the order out afterwards.
+TEST(leased_minion_test, AnOpenOrderOutlastsTheLease) {
+  leased_minion_fixture fixture(1, {.hangs = 100});
+  fixture.repeat = false;
+  fixture.timers.RunFor(milliseconds(50));
+  const std::uint64_t confirmed = fixture.Start(0, 0);
+  fixture.timers.RunFor(milliseconds(50));
+  fixture.minions[0]->SetReachable(false);
+  const std::uint64_t open = fixture.Start(0, 1);
+  fixture.timers.RunFor(milliseconds(3000));
+  EXPECT_TRUE(fixture.results.contains(confirmed));
+  EXPECT_FALSE(fixture.results.contains(open));
+  fixture.minions[0]->Crash();
+  fixture.minions[0]->SetReachable(true);
+  fixture.timers.RunFor(milliseconds(500));
+  EXPECT_EQ(fixture.results[open].outcome, task_outcome::kInterrupted);
+}
+
 // Guards against a cancelled task that keeps running.
 TEST(leased_minion_test, StopEndsTheRunSoon) {
   leased_minion_fixture fixture(1, {});
