Ask a minion for a report when it announces itself after a silence

Callers saw refusals (503) from then on: after a minion had been out of reach until its lease had passed, its agent refused every call with "the minion does not answer", although the minion was back.

Cause: three failed requests in a row mark the minion as silent, and only a report clears the mark. When all calls have ended and the agent is synchronised, nothing requests a report, and Run refuses calls before it would. Only a new life or address of the minion ended that.

Change: an announcement of a silent minion requests a report. Heartbeats bound the rate, and a minion that is gone sends none.

Evidence: leased_minion_test.AMinionThatAnswersAgainIsUsedAgain failed before.

Class of fault: a mark that only the refused work clears.

--- a/src/jayrill/agent/leased_minion.cc
+++ b/src/jayrill/agent/leased_minion.cc
@@ -64,6 +64,10 @@
                                          minion_->instance != minion.instance);
   minion_ = minion;
   if (!has_changed) {
+    if (failed_reports_ >= kMaxRenewalFailures) {
+      // Without runs nothing else would notice that it answers again.
+      RequestReport({});
+    }
     return;
   }
   control_.SetMinion(minion);
--- a/tests/unit/leased_minion_test.cc
+++ b/tests/unit/leased_minion_test.cc
@@ -312,6 +312,25 @@
   EXPECT_EQ(fixture.results[open].outcome, task_outcome::kInterrupted);
 }
 
+// Guards against an agent that refuses all calls after its minion was out of
+// reach for longer than a lease, because nothing asks the minion any more.
+TEST(leased_minion_test, AMinionThatAnswersAgainIsUsedAgain) {
+  leased_minion_fixture fixture(1, {});
+  fixture.repeat = false;
+  fixture.timers.RunFor(milliseconds(50));
+  fixture.Start(0, 0);
+  fixture.timers.RunFor(milliseconds(10));
+  fixture.minions[0]->SetReachable(false);
+  fixture.timers.RunFor(milliseconds(3000));
+  EXPECT_EQ(fixture.agents[0]->running(), 0U);
+  fixture.minions[0]->SetReachable(true);
+  fixture.Announce();
+  fixture.timers.RunFor(milliseconds(100));
+  const std::uint64_t call = fixture.Start(0, 1);
+  fixture.timers.RunFor(milliseconds(1000));
+  EXPECT_EQ(fixture.results[call].outcome, task_outcome::kSucceeded);
+}
+
 // Guards against a cancelled task that keeps running.
 TEST(leased_minion_test, StopEndsTheRunSoon) {
   leased_minion_fixture fixture(1, {});
