Reject heartbeats whose start time is in the future

Cause: the filter for late heartbeats keeps the highest start time (`born`) and ignores what has started earlier. Any whole number up to 9e15 was taken. After one heartbeat with such a number the agent announced what it named, acknowledged every heartbeat of the real minion and ignored it, also after a restart of that minion, until the agent itself was restarted.

A minion runs on the machine of its agent, so only a step of that clock puts a true start time ahead.

--- a/fuzz/platform_decode_fuzz.cc
+++ b/fuzz/platform_decode_fuzz.cc
@@ -1,6 +1,7 @@
 #include <QJsonDocument>
 #include <QJsonObject>
 
+#include <chrono>
 #include <string>
 
 #include "fuzz_target.h"
@@ -30,7 +31,8 @@
 }
 
 void DecodeBeat(const std::string& text) {
-  const auto beat = jayrill::platform::ParseHeartbeat("i", text);
+  const auto beat = jayrill::platform::ParseHeartbeat(
+      "i", text, jayrill::wall_time(std::chrono::hours(24 * 365 * 50)));
   if (beat) {
     Require(!beat->minion.service.empty() && beat->minion.port != 0,
             "an announced minion has a service and a port");
--- a/tests/platform/platform_format_test.cc
+++ b/tests/platform/platform_format_test.cc
@@ -180,9 +180,11 @@
     R"("cold_remaining_ms":40,"headroom":{"cpu":16000,"mem_mb":32768,"gpu":1},)"
     R"("labels":["a","r1"],"born":1787822405666,"sequence":4})";
 
+constexpr wall_time kNow(std::chrono::milliseconds(1787822499000));
+
 // Guards against wrong resources, address or start time of a minion.
 TEST(instance_beat_test, ReadsAHeartbeat) {
-  const auto heartbeat = ParseHeartbeat("i-1", kHeartbeat);
+  const auto heartbeat = ParseHeartbeat("i-1", kHeartbeat, kNow);
   ASSERT_TRUE(heartbeat) << heartbeat.error().message;
   EXPECT_EQ(heartbeat->sequence, 4U);
   EXPECT_EQ(heartbeat->minion.instance, "i-1");
@@ -207,7 +209,7 @@
   const std::size_t position = text.find(GetParam().from);
   ASSERT_NE(position, std::string::npos);
   text.replace(position, GetParam().from.size(), GetParam().to);
-  EXPECT_FALSE(ParseHeartbeat("i-1", text));
+  EXPECT_FALSE(ParseHeartbeat("i-1", text, kNow));
 }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -218,6 +220,15 @@
         bad_heartbeat{"address", "10.0.0.9:8080", "10.0.0.9"},
         bad_heartbeat{"state", R"("ready")", R"("resting")"},
         bad_heartbeat{"born", "1787822405666", "17.5"},
+        bad_heartbeat{"born_far_in_the_future", "1787822405666",
+                      "9000000000000000"},
+        bad_heartbeat{"born_above_64_bits", "1787822405666", "1e308"},
+        bad_heartbeat{"born_infinite", "1787822405666", "1e999"},
+        bad_heartbeat{"port_out_of_range", ":8080", ":65536"},
+        bad_heartbeat{"port_of_another_sign", ":8080", ":-1"},
+        bad_heartbeat{"port_missing", ":8080", ":"},
+        bad_heartbeat{"nested_too_deeply", R"(["a","r1"])",
+                      std::string(100'000, '[') + std::string(100'000, ']')},
         bad_heartbeat{"sequence", R"("sequence":4)", R"("sequence":"4")"},
         bad_heartbeat{"headroom", "16000", "-1"},
         bad_heartbeat{"unreadable", R"({"service")", "\xff\xfe"}),
