Ignore entry records whose address cannot be dialled

Cause: the decoder took any text as RPC address, and the membership did not compare the id of a record with its key. Each entry sends the addresses of all records to its agents. An agent connects to a limited number of them, so a record that it cannot reach, with a high `cpu_millis` for example, takes one of those places for good. An address of 1 MB would be in every heartbeat to every agent. A record that repeats an id counts as a further entry and lowers the share of each in the quotas.

Change: a record needs an id and an RPC address of the form IP:port, not a wildcard and not port 0, and its id has to match its key. Others are ignored and logged at a limited rate; a record known before stays in use. The parser of addresses moves from the command line to the base module, and rejects an address with a NUL, which inet_pton reads as the end of the text.

Ruled out by the same table: nesting of 10 to 100,000 levels, numbers from 2^32 to 1e999, negative, fractions and NaN, invalid UTF-8 and NUL were rejected before, and no process ended.

--- a/src/jayrill/base.h
+++ b/src/jayrill/base.h
@@ -2,11 +2,12 @@
 #define JAYRILL_BASE_H_
 
 /// \file
-/// Umbrella header of the base module: identifiers, errors, clocks, random
-/// numbers, and the structures that pass data between threads (work_queue,
-/// snapshot).
+/// Umbrella header of the base module: identifiers, addresses, errors, clocks,
+/// random numbers, and the structures that pass data between threads
+/// (work_queue, snapshot).
 
 #include "jayrill/base/clock.h"
+#include "jayrill/base/endpoint.h"
 #include "jayrill/base/error.h"
 #include "jayrill/base/hash.h"
 #include "jayrill/base/ids.h"
--- a/src/jayrill/cli/endpoint.cc
+++ b/src/jayrill/base/endpoint.cc
@@ -1,10 +1,9 @@
-#include "jayrill/cli/endpoint.h"
+#include "jayrill/base/endpoint.h"
 
-#include <absl/strings/numbers.h>
-#include <absl/strings/str_cat.h>
 #include <arpa/inet.h>
 
-#include <limits>
+#include <charconv>
+#include <system_error>
 
 namespace jayrill {
 
@@ -14,12 +13,14 @@
     return std::nullopt;
   }
   std::string ip(text.substr(0, colon));
-  const std::string port_text(text.substr(colon + 1));
-  std::uint32_t port = 0;
-  if (port_text.empty() ||
-      port_text.find_first_not_of("0123456789") != std::string::npos ||
-      !absl::SimpleAtoi(port_text, &port) ||
-      port > std::numeric_limits<std::uint16_t>::max()) {
+  const std::string_view port_text = text.substr(colon + 1);
+  const char* const end = port_text.data() + port_text.size();
+  // Rejects signs and numbers above 65535.
+  std::uint16_t port = 0;
+  const auto [rest, failure] = std::from_chars(port_text.data(), end, port);
+  // inet_pton would read the text only up to a NUL.
+  if (failure != std::errc() || rest != end ||
+      ip.find('\0') != std::string::npos) {
     return std::nullopt;
   }
   int family = AF_INET;
@@ -31,13 +32,13 @@
   if (inet_pton(family, ip.c_str(), &parsed) != 1) {
     return std::nullopt;
   }
-  return endpoint{ip, static_cast<std::uint16_t>(port)};
+  return endpoint{ip, port};
 }
 
 std::string ToString(const endpoint& address) {
   const bool is_v6 = address.ip.find(':') != std::string::npos;
-  return is_v6 ? absl::StrCat("[", address.ip, "]:", address.port)
-               : absl::StrCat(address.ip, ":", address.port);
+  return (is_v6 ? "[" + address.ip + "]" : address.ip) + ":" +
+         std::to_string(address.port);
 }
 
 bool IsWildcard(const endpoint& address) {
--- a/src/jayrill/cli/endpoint.h
+++ b/src/jayrill/base/endpoint.h
@@ -1,5 +1,5 @@
-#ifndef JAYRILL_CLI_ENDPOINT_H_
-#define JAYRILL_CLI_ENDPOINT_H_
+#ifndef JAYRILL_BASE_ENDPOINT_H_
+#define JAYRILL_BASE_ENDPOINT_H_
 
 #include <compare>
 #include <cstdint>
@@ -30,4 +30,4 @@
 
 }  // namespace jayrill
 
-#endif  // JAYRILL_CLI_ENDPOINT_H_
+#endif  // JAYRILL_BASE_ENDPOINT_H_
--- a/src/jayrill/cli/module.cmake
+++ b/src/jayrill/cli/module.cmake
@@ -1,6 +1,6 @@
 jayrill_module(cli
   SOURCES agent_role.cc client_flags.cc command.cc config_commands.cc
-          endpoint.cc entry_role.cc help.cc http_call.cc load_command.cc
+          entry_role.cc help.cc http_call.cc load_command.cc
           load_flags.cc load_setup.cc operator_client.cc operator_session.cc
           role_application.cc role_flags.cc role_settings.cc rollout_report.cc
           sample_backend_role.cc setting_rules.cc settings.cc settings_table.cc
--- a/src/jayrill/cli/setting_rules.cc
+++ b/src/jayrill/cli/setting_rules.cc
@@ -8,8 +8,8 @@
 
 #include <algorithm>
 
+#include "jayrill/base/endpoint.h"
 #include "jayrill/base/name.h"
-#include "jayrill/cli/endpoint.h"
 #include "jayrill/cli/flags.h"
 #include "jayrill/load/ideal.h"
 #include "jayrill/load/weighted_names.h"
--- a/src/jayrill/cli/settings.cc
+++ b/src/jayrill/cli/settings.cc
@@ -9,7 +9,7 @@
 #include <optional>
 #include <utility>
 
-#include "jayrill/cli/endpoint.h"
+#include "jayrill/base/endpoint.h"
 #include "jayrill/cli/setting_rules.h"
 
 namespace jayrill {
--- a/src/jayrill/cli/standalone.cc
+++ b/src/jayrill/cli/standalone.cc
@@ -5,7 +5,7 @@
 
 #include <utility>
 
-#include "jayrill/cli/endpoint.h"
+#include "jayrill/base/endpoint.h"
 #include "jayrill/cli/flags.h"
 #include "jayrill/cli/role_settings.h"
 
--- a/src/jayrill/membership/entry_record.cc
+++ b/src/jayrill/membership/entry_record.cc
@@ -2,10 +2,21 @@
 
 #include <QJsonArray>
 
+#include "jayrill/base/endpoint.h"
 #include "jayrill/store/json_object.h"
 
 namespace jayrill {
 
+namespace {
+
+/// \returns true when other processes can connect to \p address.
+bool IsReachable(const std::string& address) {
+  const std::optional<endpoint> parsed = ParseEndpoint(address);
+  return parsed && parsed->port != 0 && !IsWildcard(*parsed);
+}
+
+}  // namespace
+
 std::string EncodeEntryRecord(const entry_record& record) {
   QJsonArray silent;
   for (const std::string& agent : record.silent_agents) {
@@ -50,6 +61,14 @@
                [&](const std::string& team, const json_object& demand) {
                  record.team_demand[team] = demand.Number32("tasks");
                });
+  if (record.id.empty()) {
+    json.Reject("id", "a name");
+  }
+  // Each entry sends the addresses of all entries to the agents, which connect
+  // to them.
+  if (!IsReachable(record.rpc_address)) {
+    json.Reject("rpc_address", "the IP:port of an entry");
+  }
   if (auto checked = json.Check("entry record"); !checked) {
     return tl::unexpected(checked.error());
   }
--- a/src/jayrill/membership/entry_record.h
+++ b/src/jayrill/membership/entry_record.h
@@ -33,8 +33,8 @@
 /// \returns \p record as JSON.
 std::string EncodeEntryRecord(const entry_record& record);
 
-/// \returns the record in \p json, or an error when a field is malformed or the
-/// id or the process is missing.
+/// \returns the record in \p json, or an error when a field is malformed, the
+/// id or the process is missing, or no process can connect to the RPC address.
 result<entry_record> DecodeEntryRecord(std::string_view json);
 
 }  // namespace jayrill
--- a/src/jayrill/membership/membership.cc
+++ b/src/jayrill/membership/membership.cc
@@ -163,8 +163,14 @@
     return;
   }
   result<entry_record> record = DecodeEntryRecord(*event.value);
+  if (record && event.key != kEntriesPrefix + record->id) {
+    record = MakeError(error_kind::kInvalidArgument,
+                       "the record names another entry: " + record->id,
+                       "delete the key");
+  }
   if (!record) {
-    LOG(ERROR) << "store: " << event.key << ": " << ToString(record.error());
+    LOG_EVERY_N(ERROR, 20) << "store: ignored the record of an entry key="
+                           << event.key << " " << ToString(record.error());
     return;
   }
   entries_[event.key] = {std::move(*record), ++next_version_};
--- a/tests/unit/membership_test.cc
+++ b/tests/unit/membership_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <cstddef>
 #include <memory>
 #include <string>
 #include <vector>
@@ -38,6 +39,91 @@
   EXPECT_FALSE(DecodeEntryRecord("{}").has_value());
 }
 
+struct odd_record {
+  std::string name;
+  std::string field;  ///< As written by EncodeEntryRecord.
+  std::string replacement;
+};
+
+class odd_record_test : public testing::TestWithParam<odd_record> {};
+
+std::string Nested(std::size_t levels) {
+  return std::string(levels, '[') + std::string(levels, ']');
+}
+
+std::string TextOfOddRecord(const odd_record& odd) {
+  std::string text = EncodeEntryRecord(Record("2", 5));
+  const std::size_t position = text.find(odd.field);
+  EXPECT_NE(position, std::string::npos) << text;
+  return text.replace(position, odd.field.size(), odd.replacement);
+}
+
+// Guards against a record of another writer that ends the process or that names
+// an entry to which agents cannot connect.
+TEST_P(odd_record_test, NamesNoEntry) {
+  EXPECT_FALSE(DecodeEntryRecord(TextOfOddRecord(GetParam())).has_value());
+}
+
+constexpr char kRpcAddress[] = R"("127.0.0.1:2")";
+constexpr char kDemand[] = R"({"tasks":5})";
+
+INSTANTIATE_TEST_SUITE_P(
+    all,
+    odd_record_test,
+    testing::Values(
+        odd_record{"port_above_65535", kRpcAddress, R"("127.0.0.1:65536")"},
+        odd_record{"port_above_64_bits", kRpcAddress,
+                   R"("127.0.0.1:99999999999999999999")"},
+        odd_record{"port_negative", kRpcAddress, R"("127.0.0.1:-1")"},
+        odd_record{"port_zero", kRpcAddress, R"("127.0.0.1:0")"},
+        odd_record{"no_port", kRpcAddress, R"("127.0.0.1")"},
+        odd_record{"address_empty", kRpcAddress, R"("")"},
+        odd_record{"address_of_a_name", kRpcAddress, R"("nowhere.example:2")"},
+        odd_record{"address_of_a_file", kRpcAddress, R"("unix:/tmp/x")"},
+        odd_record{"address_wildcard", kRpcAddress, R"("0.0.0.0:2")"},
+        odd_record{"address_with_nul", kRpcAddress, R"("127.0.0.1\u0000:2")"},
+        odd_record{"address_very_long", kRpcAddress,
+                   '"' + std::string(1 << 20U, '1') + ":2\""},
+        odd_record{"address_a_number", kRpcAddress, "7"},
+        odd_record{"invalid_utf8", kRpcAddress, "\"\xff\xfe:2\""},
+        odd_record{"id_empty", R"("id":"2")", R"("id":"")"},
+        odd_record{"id_an_object", R"("id":"2")", R"("id":{})"},
+        odd_record{"process_not_hex", R"("process":"0)", R"("process":"x)"},
+        odd_record{"number_2_to_32", R"("cpu_millis":250)",
+                   R"("cpu_millis":4294967296)"},
+        odd_record{"number_2_to_63", R"("revision":3)",
+                   R"("revision":9223372036854775808)"},
+        odd_record{"number_2_to_64", R"("revision":3)",
+                   R"("revision":18446744073709551616)"},
+        odd_record{"number_1e308", R"("revision":3)", R"("revision":1e308)"},
+        odd_record{"number_1e999", R"("revision":3)", R"("revision":1e999)"},
+        odd_record{"number_negative", R"("agents":2)", R"("agents":-1)"},
+        odd_record{"number_fraction", R"("agents":2)", R"("agents":0.5)"},
+        odd_record{"not_a_number", R"("agents":2)", R"("agents":NaN)"},
+        odd_record{"demand_nested", kDemand, Nested(10)},
+        odd_record{"nested_500", kDemand, Nested(500)},
+        odd_record{"nested_2000", kDemand, Nested(2000)},
+        odd_record{"nested_100000", kDemand, Nested(100'000)},
+        odd_record{"objects_nested_2000", kDemand,
+                   [] {
+                     std::string text;
+                     for (int i = 0; i < 2000; ++i) {
+                       text += R"({"a":)";
+                     }
+                     return text;
+                   }()},
+        odd_record{"whole_nested", "{", Nested(100'000) + "{"},
+        odd_record{"nul", "{", std::string(1, '\0') + "{"}),
+    [](const auto& param) { return param.param.name; });
+
+// Guards against a number that becomes another one where nesting or size is
+// still allowed, and against an unknown field that makes a record unreadable.
+TEST(entry_record_test, ToleratesUnknownFields) {
+  std::string text = EncodeEntryRecord(Record("2", 5));
+  text.insert(1, R"("unknown":)" + Nested(500) + R"(,"large":1e308,)");
+  EXPECT_EQ(DecodeEntryRecord(text), Record("2", 5));
+}
+
 struct share_case {
   std::vector<std::uint32_t> demand;
   std::vector<double> shares;
@@ -139,6 +225,37 @@
   }
 }
 
+// Guards against an odd record of another writer that hides the records after
+// it, replaces a known one, or counts as a further entry.
+TEST_F(membership_test, HoldsBesideOddRecords) {
+  const auto put = [this](const std::string& id, const std::string& text) {
+    bool stored = false;
+    store_.CompareAndSwap(kEntriesPrefix + id, {}, text, std::nullopt,
+                          [&](const result<swap_result>& swap) {
+                            stored = swap && swap->swapped;
+                          });
+    timers_.RunFor(seconds(1));
+    EXPECT_TRUE(stored) << id;
+  };
+  put("0", Nested(100'000));
+  put("1-odd", TextOfOddRecord({"", kRpcAddress, R"("127.0.0.1:70000")"}));
+  put("1-other", EncodeEntryRecord(Record("1", 9)));
+  put("", EncodeEntryRecord(Record("2", 9)));
+  put("4", "\xff");
+  Start(first_, "1", 1);
+  Start(second_, "2", 3);
+  timers_.RunFor(seconds(10));
+  put("5", TextOfOddRecord({"", R"("agents":2)", R"("agents":1e308)"}));
+  put("6", EncodeEntryRecord(Record("1", 9)));
+  second_.member->Update(Record("2", 8));
+  timers_.RunFor(membership::kRecordInterval + seconds(1));
+  for (const process* seen : {&first_, &second_}) {
+    ASSERT_EQ(seen->view.size(), 2U);
+    EXPECT_EQ(seen->view[0], Record("1", 1));
+    EXPECT_EQ(seen->view[1], Record("2", 8));
+  }
+}
+
 // Guards against an entry that never registers because answers of the store
 // were lost.
 TEST_F(membership_test, RegistersDespiteLostAnswers) {
--- a/tests/unit/settings_test.cc
+++ b/tests/unit/settings_test.cc
@@ -6,8 +6,8 @@
 
 #include <algorithm>
 
+#include "jayrill/base/endpoint.h"
 #include "jayrill/cli/command.h"
-#include "jayrill/cli/endpoint.h"
 #include "jayrill/cli/flags.h"
 #include "jayrill/cli/setting_rules.h"
 
