--- a/tests/platform/kv_store_test.cc
+++ b/tests/platform/kv_store_test.cc
@@ -150,6 +150,63 @@
   EXPECT_TRUE(WaitFor([&] { return seen.values.contains("op/b"); }));
 }
 
+struct odd_item {
+  std::string name;
+  QJsonObject shown;
+};
+
+class odd_item_test : public kv_store_test,
+                      public testing::WithParamInterface<odd_item> {};
+
+// Guards against one item that cannot be read and that hides the others or
+// stops the watch, and against taking such an item for a deleted one.
+TEST_P(odd_item_test, TheWatchGoesOn) {
+  standin_->Put("op/a", "1");
+  standin_->PutOdd("op/odd", GetParam().shown);
+  standin_->Put("op/z", "2");
+  watch_recorder seen;
+  const auto watch = store_->Watch("op/", seen.Listener());
+  ASSERT_TRUE(WaitFor([&] { return seen.values.contains("op/z"); }));
+  EXPECT_TRUE(seen.values.contains("op/a"));
+  QJsonObject shown = GetParam().shown;
+  shown.insert(QStringLiteral("key"), QStringLiteral("op/a"));
+  standin_->PutOdd("op/a", shown);
+  standin_->Put("op/b", "3");
+  ASSERT_TRUE(WaitFor([&] { return seen.values.contains("op/b"); }));
+  standin_->DropHistory();
+  standin_->Put("op/c", "4");
+  standin_->Delete("op/z");
+  standin_->DropHistory();
+  ASSERT_TRUE(WaitFor([&] {
+    return seen.values.contains("op/c") && !seen.values.contains("op/z");
+  }));
+  EXPECT_EQ(seen.values.at("op/a"), "1");
+  EXPECT_EQ(seen.interruptions, 0);
+  standin_->Put("op/a", "5");
+  EXPECT_TRUE(WaitFor([&] { return seen.values.at("op/a") == "5"; }));
+}
+
+QJsonObject OddItem(const QJsonValue& value, const QJsonValue& revision) {
+  return {{QStringLiteral("key"), QStringLiteral("op/odd")},
+          {QStringLiteral("value"), value},
+          {QStringLiteral("revision"), revision}};
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table,
+    odd_item_test,
+    testing::Values(
+        odd_item{"value_a_number", OddItem(7, 3)},
+        odd_item{"value_missing", OddItem(QJsonValue::Undefined, 3)},
+        odd_item{"revision_missing",
+                 OddItem(QStringLiteral("MQ=="), QJsonValue::Undefined)},
+        odd_item{"revision_a_text",
+                 OddItem(QStringLiteral("MQ=="), QStringLiteral("3"))},
+        odd_item{"revision_negative", OddItem(QStringLiteral("MQ=="), -1)},
+        odd_item{"revision_fraction", OddItem(QStringLiteral("MQ=="), 0.5)},
+        odd_item{"revision_1e308", OddItem(QStringLiteral("MQ=="), 1e308)}),
+    [](const auto& param) { return param.param.name; });
+
 /// Takes the value of `op/config` for the name of the only data centre that is
 /// out of service. The value `bad` is invalid.
 class single_data_centre_translator final : public config_translator {
--- a/tests/platform/platform_store_standin.h
+++ b/tests/platform/platform_store_standin.h
@@ -6,6 +6,7 @@
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
+#include <QJsonValue>
 #include <QUrlQuery>
 #include <map>
 #include <string>
@@ -52,9 +53,14 @@
   void DropHistory() { history_begin_ = revision_; }
 
   void Put(const std::string& key, const std::string& value) {
-    items_[key] = {value, ++revision_};
+    items_[key] = {value, ++revision_, QJsonValue::Undefined};
     history_[revision_] = key;
   }
+  /// Changes \p key so that reads show \p shown as its item.
+  void PutOdd(const std::string& key, const QJsonValue& shown) {
+    Put(key, "");
+    items_[key].shown = shown;
+  }
   void Delete(const std::string& key) {
     items_.erase(key);
     history_[++revision_] = key;
@@ -66,19 +72,24 @@
   struct item {
     std::string value;
     std::uint64_t revision = 0;
+    QJsonValue shown = QJsonValue::Undefined;  ///< Replaces what reads show.
   };
 
   static response Status(int code) {
     return response(static_cast<response::StatusCode>(code));
   }
 
-  QJsonObject ToJson(const std::string& key) const {
+  QJsonValue ToJson(const std::string& key) const {
     const item& found = items_.at(key);
-    return {{QStringLiteral("key"), QString::fromStdString(key)},
-            {QStringLiteral("value"),
-             QString::fromLatin1(
-                 QByteArray::fromStdString(found.value).toBase64())},
-            {QStringLiteral("revision"), static_cast<qint64>(found.revision)}};
+    if (!found.shown.isUndefined()) {
+      return found.shown;
+    }
+    return QJsonObject{
+        {QStringLiteral("key"), QString::fromStdString(key)},
+        {QStringLiteral("value"),
+         QString::fromLatin1(
+             QByteArray::fromStdString(found.value).toBase64())},
+        {QStringLiteral("revision"), static_cast<qint64>(found.revision)}};
   }
 
   static response Unreadable() {
@@ -95,7 +106,8 @@
     if (unreadable_) {
       return Unreadable();
     }
-    return items_.contains(key) ? response(ToJson(key)) : Status(404);
+    return items_.contains(key) ? response(ToJson(key).toObject())
+                                : Status(404);
   }
 
   response Range(const QHttpServerRequest& request) {
@@ -174,7 +186,8 @@
       if (current_revision !=
           static_cast<std::uint64_t>(
               row.value(QStringLiteral("revision")).toDouble())) {
-        conflicts.append(found == items_.end() ? QJsonObject() : ToJson(key));
+        conflicts.append(found == items_.end() ? QJsonValue(QJsonObject())
+                                               : ToJson(key));
       }
     }
     if (!conflicts.isEmpty()) {
