Test links to odd addresses of entries

An agent dials the addresses that entries send. The table shows for 25 odd ones (ports out of range or missing, wildcards, paths, names, NUL, invalid UTF-8, 1 MB of digits) that the link does not connect within 250 ms, that the event loop goes on and that the link can be destroyed then.

--- a/tests/unit/entry_link_test.cc
+++ b/tests/unit/entry_link_test.cc
@@ -5,6 +5,8 @@
 #include <kj/debug.h>
 #include <kj/timer.h>
 
+#include <string>
+
 #include "agent_core_rig.h"
 #include "jayrill/base/random_source.h"
 
@@ -97,5 +99,56 @@
   EXPECT_GE(io.network.dials, 3);
 }
 
+class odd_address_test : public testing::TestWithParam<std::string> {};
+
+// Guards against an address from the list of entries that ends the agent, that
+// is dialled without pause, or that keeps a link from being closed.
+TEST_P(odd_address_test, IsDialledInVain) {
+  kj::AsyncIoContext io = kj::setupAsyncIo();
+  core_rig rig;
+  const agent_settings settings = Settings();
+  random_source random(1);
+  entry_link::context shared{settings, rig.time, incarnation{2}, *io.provider,
+                             random,   rig.core, [] {}};
+  {
+    entry_link link(GetParam(), shared);
+    link.Start();
+    io.provider->getTimer()
+        .afterDelay(250 * kj::MILLISECONDS)
+        .wait(io.waitScope);
+    EXPECT_FALSE(link.connected());
+  }
+  io.provider->getTimer().afterDelay(1 * kj::MILLISECONDS).wait(io.waitScope);
+}
+
+INSTANTIATE_TEST_SUITE_P(all,
+                         odd_address_test,
+                         testing::Values("",
+                                         ":",
+                                         "127.0.0.1",
+                                         "127.0.0.1:",
+                                         "127.0.0.1:0",
+                                         "127.0.0.1:65536",
+                                         "127.0.0.1:99999999999999999999",
+                                         "127.0.0.1:-1",
+                                         "127.0.0.1:1e3",
+                                         "256.0.0.1:1",
+                                         "[::1",
+                                         "[::1]:65536",
+                                         "[]:1",
+                                         "*",
+                                         "*:1",
+                                         "0.0.0.0:1",
+                                         "unix:",
+                                         "unix:/",
+                                         "unix:" + std::string(5000, 'x'),
+                                         "unix-abstract:" +
+                                             std::string(5000, 'x'),
+                                         "nowhere.invalid:1",
+                                         "a b:1",
+                                         "\xff\xfe:1",
+                                         std::string("127.0.0.1\0:1", 12),
+                                         std::string(1U << 20U, '1') + ":1"));
+
 }  // namespace
 }  // namespace jayrill
