--- a/tests/platform/kv_store_test.cc
+++ b/tests/platform/kv_store_test.cc
@@ -150,6 +150,22 @@
   EXPECT_TRUE(WaitFor([&] { return seen.values.contains("op/b"); }));
 }
 
+// Guards against a list that is read without end because a page does not begin
+// after the last key, as with a key that is not encoded back to itself.
+TEST_F(kv_store_test, AListThatRepeatsPagesEnds) {
+  standin_->Put("op/a", "1");
+  standin_->SetRepeatingPages(true);
+  std::optional<result<std::vector<store_entry>>> listed;
+  store_->List("op/", [&](result<std::vector<store_entry>> found) {
+    listed = std::move(found);
+  });
+  ASSERT_TRUE(WaitFor(
+      [&] { return listed.has_value() || standin_->pages_read() > 20; }));
+  ASSERT_TRUE(listed.has_value());
+  EXPECT_FALSE(listed->has_value());
+  EXPECT_LE(standin_->pages_read(), 2);
+}
+
 struct odd_item {
   std::string name;
   QJsonObject shown;
--- a/tests/platform/platform_store_standin.h
+++ b/tests/platform/platform_store_standin.h
@@ -47,6 +47,10 @@
   /// While set, reads are answered with status 200 and a body that is not
   /// JSON.
   void SetUnreadable(bool unreadable) { unreadable_ = unreadable; }
+  /// While set, a list says after each page that there are more, and the next
+  /// page is the same one.
+  void SetRepeatingPages(bool repeating) { repeating_pages_ = repeating; }
+  int pages_read() const { return pages_read_; }
   /// The next transaction takes effect but is not answered.
   void LoseNextAnswer() { lose_answer_ = true; }
   /// A watch from an older revision is answered with status 410 from now on.
@@ -119,6 +123,7 @@
     }
     const std::string prefix =
         request.query().queryItemValue(QStringLiteral("prefix")).toStdString();
+    ++pages_read_;
     QJsonArray items;
     for (const auto& [key, found] : items_) {
       if (key.starts_with(prefix)) {
@@ -127,7 +132,7 @@
     }
     return QJsonObject{
         {QStringLiteral("items"), items},
-        {QStringLiteral("has_more"), false},
+        {QStringLiteral("has_more"), repeating_pages_},
         {QStringLiteral("as_of"), static_cast<qint64>(revision_)}};
   }
 
@@ -220,6 +225,8 @@
   bool down_ = false;
   bool unreadable_ = false;
   bool lose_answer_ = false;
+  bool repeating_pages_ = false;
+  int pages_read_ = 0;
   std::uint64_t revision_ = 1;
   std::uint64_t history_begin_ = 0;
   std::map<std::string, item> items_;
