Give up tasks that crash the minions that start them

Cause: a run under which its minion crashed was only an interrupted run. Its entry started the task again, and the answer 504 made the caller repeat the job, at any entry, which counted from zero. Nobody counted crashes, so nothing bounded how many minions one task took down. The class of fault is a retry whose bound does not outlive the request.

Callers saw nothing of their own: their job ended as 504 each time. All other callers lost the minions and the runs on them.

Agents now tell a crash from other ends of a run: the minion has restarted, or refused connections until the lease had passed, without having said that it leaves. They carry the crashes of the last 10 s in their status, which each report and each hello brings to all entries of the agent. Entries count them by job name and task, over submissions, entries and agents, and give a task up after two crashes that it has likely caused (it was alone on the minion, or the last to begin), after three in any case. The job fails as `task_crashes_minions` with the effect `ran_and_failed`, on the platform 200 `failed`, which is final for its caller; further submissions fail at once.

Why it works: the count lives with the agents and entries and not with a submission, an entry that starts learns it from the hello, and the answer is final, so the caller does not repeat the job.

Remains: an agent holds 12 sessions at most, so in a fleet with more entries a repeated job may reach an entry that knows a part of the crashes only.

--- a/src/jayrill/agent/agent_core.cc
+++ b/src/jayrill/agent/agent_core.cc
@@ -39,6 +39,7 @@
       host_(callbacks),
       pause_(time),
       queue_(settings_.queue_limit),
+      crashes_(time),
       departure_(settings_.announce_ttl) {}
 
 void agent_core::Announce(const announcement& minion) {
@@ -282,6 +283,8 @@
   running_[call] = {start.entry,
                     sessions_[start.entry].generation(),
                     start.order.number,
+                    start.order.job_name,
+                    start.order.task_index,
                     start.arrived,
                     now,
                     now + start.order.expected_run,
@@ -301,6 +304,9 @@
   }
   running_call& run = found->second;
   run.run_time = outcome.run_time;
+  // Counts also where nobody waits for the result any more: the caller may
+  // submit the job again.
+  crashes_.Add(run.job_name, run.task_index, outcome.crash);
   if (outcome.outcome == task_outcome::kSucceeded) {
     pace_.OnRunEnded(outcome.run_time, run.typical_run, time_.Now());
   }
@@ -584,6 +590,7 @@
   status.busy = queue_.busy();
   status.queued = static_cast<std::uint32_t>(queue_.waiting());
   status.revision = config_.revision;
+  status.crashes = crashes_.Recent();
   if (IsAnnounced()) {
     status.service = minion_->service;
     status.slots = slots();
--- a/src/jayrill/agent/agent_core.h
+++ b/src/jayrill/agent/agent_core.h
@@ -13,6 +13,7 @@
 #include "jayrill/agent/agent_settings.h"
 #include "jayrill/agent/announcement.h"
 #include "jayrill/agent/config_copy.h"
+#include "jayrill/agent/crash_log.h"
 #include "jayrill/agent/entry_session.h"
 #include "jayrill/agent/minion_departure.h"
 #include "jayrill/agent/run_pace.h"
@@ -163,6 +164,8 @@
     incarnation entry;
     std::uint64_t generation = 0;  ///< Session that the call belongs to.
     start_number number;
+    std::string job_name;
+    std::uint32_t task_index = 0;
     steady_time arrived;
     steady_time released;
     steady_time expected_end;
@@ -222,6 +225,7 @@
   pause_detector pause_;
   run_queue queue_;
   run_pace pace_;
+  crash_log crashes_;
   std::map<incarnation, entry_session> sessions_;
   std::map<std::uint64_t, running_call> running_;
   std::uint64_t last_call_ = 0;
--- a/src/jayrill/agent/leased_minion.cc
+++ b/src/jayrill/agent/leased_minion.cc
@@ -63,6 +63,7 @@
   const bool has_restarted = minion_ && (minion_->life != minion.life ||
                                          minion_->instance != minion.instance);
   minion_ = minion;
+  is_end_announced_ = is_end_announced_ || (minion.draining && !has_restarted);
   if (!has_changed) {
     if (failed_reports_ >= kMaxRenewalFailures) {
       // Without runs nothing else would notice that it answers again.
--- a/src/jayrill/agent/leased_minion.h
+++ b/src/jayrill/agent/leased_minion.h
@@ -58,7 +58,10 @@
   void Run(const task_call& call) override;
   void Stop(std::uint64_t call) override;
   void OnAnnounced(const announcement& minion) override;
-  void SetMinionLeft(bool left) override { minion_left_ = left; }
+  void SetMinionLeft(bool left) override {
+    minion_left_ = left;
+    is_end_announced_ = is_end_announced_ || left;
+  }
   std::uint32_t running() const override {
     return static_cast<std::uint32_t>(runs_.size() + waiting_calls_.size());
   }
@@ -94,6 +97,7 @@
     std::string reason;  ///< Why it is stopped; for the result.
     /// Why the agent stops it; kNone when the minion or the run is at fault.
     not_run_reason cause = not_run_reason::kNone;
+    crash_role crash = crash_role::kNone;
   };
   using run_map = std::map<std::uint64_t, leased_run>;
 
@@ -157,6 +161,10 @@
   /// \returns the end of the lease on the clock of the minion.
   minion_time ExtendLease();
   task_result MakeResult(const leased_run& run, task_outcome outcome) const;
+  /// Sets leased_run::crash of the runs that the minion may have begun before
+  /// it crashed. Unless the crash \p is_proved, none counts as its likely
+  /// cause.
+  void AssignCrashRoles(bool is_proved);
 
   const lease_settings settings_;
   const clock& time_;
@@ -192,6 +200,12 @@
   std::optional<steady_time> last_report_requested_at_;
   std::uint32_t reports_in_flight_ = 0;
   std::uint32_t failed_reports_ = 0;  ///< Failed requests in a row.
+  /// When requests began to fail; empty after a report of the present life.
+  std::optional<steady_time> first_failure_at_;
+  /// The latest failed request did not reach the minion.
+  bool is_unreachable_ = false;
+  /// The minion has said that it leaves, so that its end is no crash.
+  bool is_end_announced_ = false;
   bool retry_scheduled_ = false;
   steady_time last_event_at_;  ///< For CheckPause.
   agent::internal::log_limit end_log_limit_{kEndLinesPerSecond};
--- a/src/jayrill/agent/leased_minion_ends.cc
+++ b/src/jayrill/agent/leased_minion_ends.cc
@@ -1,5 +1,6 @@
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -11,6 +12,7 @@
                                       task_outcome outcome) const {
   task_result result;
   result.outcome = outcome;
+  result.crash = run.crash;
   if (outcome == task_outcome::kSucceeded) {
     result.body = "null";
   } else {
@@ -95,6 +97,9 @@
                  << " open_orders=" << runs_.size() - lapsed.size() << " "
                  << reason;
   }
+  if (!lapsed.empty()) {
+    AssignCrashRoles(is_unreachable_);
+  }
   for (const std::uint64_t id : lapsed) {
     leased_run& run = runs_.at(id);
     run.reason = reason;
@@ -103,4 +108,25 @@
   }
 }
 
+void leased_minion::AssignCrashRoles(bool is_proved) {
+  if (is_end_announced_) {
+    return;
+  }
+  // A run that was ordered after the first failure has not begun.
+  const steady_time latest_start = first_failure_at_.value_or(time_.Now());
+  steady_time last_start;
+  for (const auto& [id, run] : runs_) {
+    if (run.ordered_at <= latest_start) {
+      last_start = std::max(last_start, run.ordered_at);
+    }
+  }
+  for (auto& [id, run] : runs_) {
+    if (run.ordered_at <= latest_start) {
+      run.crash = is_proved && run.ordered_at == last_start
+                      ? crash_role::kLikelyCause
+                      : crash_role::kBeside;
+    }
+  }
+}
+
 }  // namespace jayrill
--- a/src/jayrill/agent/leased_minion_reports.cc
+++ b/src/jayrill/agent/leased_minion_reports.cc
@@ -81,11 +81,14 @@
   clock_read_at_ = time_.Now();
   ProcessEndedRuns(*answer);
   ProcessRunningRuns(serial, *answer);
+  first_failure_at_.reset();
   BeginWaitingCalls();
 }
 
 void leased_minion::OnReportFailed(const error& failure) {
   ++failed_reports_;
+  first_failure_at_ = first_failure_at_.value_or(time_.Now());
+  is_unreachable_ = failure.kind == error_kind::kUnavailable;
   if (failure.kind == error_kind::kConflict) {
     RaiseToken();
     failed_reports_ = 0;
@@ -124,6 +127,8 @@
   for (const active_run& active : report.running) {
     present.insert(active.run);
   }
+  AssignCrashRoles(true);
+  is_end_announced_ = minion_->draining;
   std::vector<std::uint64_t> ended;
   for (auto& [id, run] : runs_) {
     if (!present.contains(run.name)) {
--- a/src/jayrill/entry/dispatcher.cc
+++ b/src/jayrill/entry/dispatcher.cc
@@ -98,6 +98,7 @@
         "a newer connection of agent '" + hello.agent_id + "' is open",
         "connect with a higher epoch");
   }
+  LearnCrashes(session.handle(), hello.status.crashes);
   EndStarts(session, effect->lost, task_outcome::kUnknown,
             "the agent restarted");
   EndStarts(session, effect->fenced, task_outcome::kNotRun,
@@ -137,6 +138,9 @@
   }
   session->OnAgentTime(sent, now);
   isolation_detector_.OnAgentContact(session->hello().data_centre, now);
+  // First, so that a task that is given up with this report is not started
+  // again for its results.
+  LearnCrashes(agent, status.crashes);
   for (const task_result& result : results) {
     OnResult(*session, result);
   }
--- a/src/jayrill/entry/dispatcher.h
+++ b/src/jayrill/entry/dispatcher.h
@@ -12,6 +12,7 @@
 #include "jayrill/base/error.h"
 #include "jayrill/base/random_source.h"
 #include "jayrill/entry/agent_table.h"
+#include "jayrill/entry/crash_table.h"
 #include "jayrill/entry/dispatch_counters.h"
 #include "jayrill/entry/dispatch_output.h"
 #include "jayrill/entry/dispatch_settings.h"
@@ -224,6 +225,15 @@
                     const task_result& result,
                     std::uint32_t index);
 
+  // Tasks that crash minions (dispatcher_crashes.cc).
+
+  /// Adds \p crashes and fails the jobs with a task that is given up since.
+  void LearnCrashes(agent_handle agent, const std::vector<task_crash>& crashes);
+
+  /// Fails \p job when one of its tasks is given up.
+  /// \returns true when it was failed, and may have been removed.
+  bool FailIfGivenUp(job_record& job);
+
   /// Ends the starts of all \p tasks with \p outcome and \p message.
   void EndStarts(agent_session& session,
                  const std::vector<task_ref>& tasks,
@@ -272,6 +282,7 @@
   std::optional<steady_time> last_agent_connect_;
   agent_table agents_;
   job_table jobs_;
+  crash_table crashes_;
   task_placer placer_;
   speed_model speed_model_;
   quota_ledger team_quotas_;
--- a/src/jayrill/entry/dispatcher_jobs.cc
+++ b/src/jayrill/entry/dispatcher_jobs.cc
@@ -61,7 +61,9 @@
     Refuse(id, {"duplicate_job", "the job id is in use", "use a new job id"});
     return;
   }
-  Enqueue(*job);
+  if (!FailIfGivenUp(*job)) {
+    Enqueue(*job);
+  }
 }
 
 std::optional<refusal> dispatcher::Admit(const job_spec& spec) {
--- a/src/jayrill/entry/module.cmake
+++ b/src/jayrill/entry/module.cmake
@@ -1,7 +1,8 @@
 jayrill_module(entry
   SOURCES admission.cc agent_connection.cc agent_server.cc agent_session.cc
-          agent_table.cc answer_cache.cc dispatch_metrics.cc
-          dispatch_service.cc dispatcher.cc dispatcher_jobs.cc
+          agent_table.cc answer_cache.cc crash_table.cc dispatch_metrics.cc
+          dispatch_service.cc dispatcher.cc dispatcher_crashes.cc
+          dispatcher_jobs.cc
           dispatcher_results.cc dispatcher_sending.cc entry_port_server.cc
           entry_process.cc entry_status.cc guarded_socket.cc http_exchange.cc
           http_framer.cc http_guard.cc http_server.cc job_api.cc
--- a/src/jayrill/job/job_collector.cc
+++ b/src/jayrill/job/job_collector.cc
@@ -76,6 +76,17 @@
   return true;
 }
 
+bool job_collector::GiveUp(std::string code,
+                           std::string message,
+                           std::string remedy) {
+  if (outcome_) {
+    return false;
+  }
+  outcome_ = MakeJobFailure(job_effect::kRanAndFailed, std::move(code),
+                            std::move(message), std::move(remedy));
+  return true;
+}
+
 job_effect job_collector::EffectSoFar() const {
   const auto has = [this](task_state wanted) {
     return std::find(states_.begin(), states_.end(), wanted) != states_.end();
--- a/src/jayrill/job/job_collector.h
+++ b/src/jayrill/job/job_collector.h
@@ -45,6 +45,11 @@
   /// \returns false when the job was decided before.
   bool Fail(std::string code, std::string message, std::string remedy);
 
+  /// Decides the job as failed with the effect job_effect::kRanAndFailed: its
+  /// failure is final although starts may be outstanding.
+  /// \returns false when the job was decided before.
+  bool GiveUp(std::string code, std::string message, std::string remedy);
+
   /// \returns the outcome, or nothing until the job is decided.
   const std::optional<job_outcome>& outcome() const { return outcome_; }
 
--- a/src/jayrill/job/job_outcome.h
+++ b/src/jayrill/job/job_outcome.h
@@ -19,6 +19,10 @@
   kRan,           ///< The job completed before; its results are not kept.
 };
 
+/// Code of the failure of a job with a task that crashes the minions that start
+/// it. Submitting the job again would crash more of them.
+inline constexpr char kCrashingTaskCode[] = "task_crashes_minions";
+
 /// The failure of a job, with its effect.
 struct job_failure {
   job_effect effect = job_effect::kMayHaveRun;
--- a/src/jayrill/job/task_result.h
+++ b/src/jayrill/job/task_result.h
@@ -5,9 +5,11 @@
 #include <compare>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "jayrill/base/ids.h"
 #include "jayrill/job/resource_amount.h"
+#include "jayrill/job/task_crash.h"
 
 namespace jayrill {
 
@@ -48,6 +50,9 @@
   not_run_reason reason = not_run_reason::kNone;
   std::chrono::microseconds run_time{};   ///< Duration of the minion call.
   std::chrono::microseconds wait_time{};  ///< Time in the agent's queue.
+  /// Set where the minion has crashed under the run. Known to the agent only:
+  /// entries learn of it from minion_status::crashes.
+  crash_role crash = crash_role::kNone;
 
   auto operator<=>(const task_result&) const = default;
 };
@@ -73,6 +78,8 @@
   /// Run time in percent of that on the average minion, by the latest runs of
   /// all entries; 0 when not known.
   std::uint32_t slowness_percent = 0;
+  /// Tasks under which the minion has crashed lately, in any of its lives.
+  std::vector<task_crash> crashes;
 
   auto operator<=>(const minion_status&) const = default;
 };
--- a/src/jayrill/rpc/codec.cc
+++ b/src/jayrill/rpc/codec.cc
@@ -141,6 +141,14 @@
   EncodeAmount(status.used, wire.initUsed());
   wire.setWarmingUpMs(ToWireMillis(status.warm_up_remaining));
   wire.setSlownessPercent(status.slowness_percent);
+  auto crashes = wire.initCrashes(static_cast<unsigned>(status.crashes.size()));
+  for (unsigned i = 0; i < crashes.size(); ++i) {
+    const task_crash& crash = status.crashes[i];
+    crashes[i].setJobName(crash.job_name);
+    crashes[i].setTaskIndex(crash.task_index);
+    crashes[i].setNumber(crash.number);
+    crashes[i].setIsLikelyCause(crash.role == crash_role::kLikelyCause);
+  }
 }
 
 void Encode(const std::vector<entry_endpoint>& entries,
@@ -183,6 +191,12 @@
   return result;
 }
 
+task_crash Decode(wire::TaskCrash::Reader wire) {
+  return {
+      ToString(wire.getJobName()), wire.getTaskIndex(), wire.getNumber(),
+      wire.getIsLikelyCause() ? crash_role::kLikelyCause : crash_role::kBeside};
+}
+
 minion_status Decode(wire::MinionStatus::Reader wire) {
   minion_status status;
   status.service = ToString(wire.getService());
@@ -200,6 +214,7 @@
   status.used = DecodeAmount(wire.getUsed());
   status.warm_up_remaining = std::chrono::milliseconds(wire.getWarmingUpMs());
   status.slowness_percent = wire.getSlownessPercent();
+  status.crashes = DecodeList<task_crash>(wire.getCrashes());
   return status;
 }
 
--- a/src/jayrill/rpc/codec.h
+++ b/src/jayrill/rpc/codec.h
@@ -34,6 +34,7 @@
 /// release does not know becomes kUnknown, an unknown reason becomes kNone.
 start_request Decode(wire::Start::Reader wire);
 task_result Decode(wire::TaskResult::Reader wire);
+task_crash Decode(wire::TaskCrash::Reader wire);
 minion_status Decode(wire::MinionStatus::Reader wire);
 
 /// \returns the domain values of a received list. Throws kj::Exception, which
--- a/src/jayrill/rpc/dispatch.capnp
+++ b/src/jayrill/rpc/dispatch.capnp
@@ -177,6 +177,15 @@
   slownessPercent @14 :UInt32;
   # Run time relative to the average minion, by the runs of all entries in the
   # last seconds; 0: not known.
+  crashes @15 :List(TaskCrash);  # of the last seconds, in any life of the minion
+}
+
+struct TaskCrash {
+  # The minion has crashed while it ran this task.
+  jobName @0 :Text;
+  taskIndex @1 :UInt32;
+  number @2 :UInt64;         # tells the crashes that an agent reports apart
+  isLikelyCause @3 :Bool;    # it was the only run, or the last one to begin
 }
 
 struct AgentReport {
--- a/src/jayrill/rpc/dispatch.capnp.h
+++ b/src/jayrill/rpc/dispatch.capnp.h
@@ -74,6 +74,7 @@
 };
 CAPNP_DECLARE_ENUM(NotRunReason, da2e727229e455cb);
 CAPNP_DECLARE_SCHEMA(f9f29e2b788cb5a1);
+CAPNP_DECLARE_SCHEMA(a111443629329690);
 CAPNP_DECLARE_SCHEMA(afe8b594b97d90a7);
 
 }  // namespace schemas
@@ -536,7 +537,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f9f29e2b788cb5a1, 7, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(f9f29e2b788cb5a1, 7, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct TaskCrash {
+  TaskCrash() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a111443629329690, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3085,6 +3101,9 @@
 
   inline  ::uint32_t getSlownessPercent() const;
 
+  inline bool hasCrashes() const;
+  inline  ::capnp::List< ::jayrill::wire::TaskCrash,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3170,6 +3189,13 @@
   inline  ::uint32_t getSlownessPercent();
   inline void setSlownessPercent( ::uint32_t value);
 
+  inline bool hasCrashes();
+  inline  ::capnp::List< ::jayrill::wire::TaskCrash,  ::capnp::Kind::STRUCT>::Builder getCrashes();
+  inline void setCrashes( ::capnp::List< ::jayrill::wire::TaskCrash,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::jayrill::wire::TaskCrash,  ::capnp::Kind::STRUCT>::Builder initCrashes(unsigned int size);
+  inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::jayrill::wire::TaskCrash,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::jayrill::wire::TaskCrash,  ::capnp::Kind::STRUCT>> disownCrashes();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3198,6 +3224,102 @@
 };
 #endif  // !CAPNP_LITE
 
+class TaskCrash::Reader {
+public:
+  typedef TaskCrash Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasJobName() const;
+  inline  ::capnp::Text::Reader getJobName() const;
+
+  inline  ::uint32_t getTaskIndex() const;
+
+  inline  ::uint64_t getNumber() const;
+
+  inline bool getIsLikelyCause() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class TaskCrash::Builder {
+public:
+  typedef TaskCrash Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasJobName();
+  inline  ::capnp::Text::Builder getJobName();
+  inline void setJobName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initJobName(unsigned int size);
+  inline void adoptJobName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownJobName();
+
+  inline  ::uint32_t getTaskIndex();
+  inline void setTaskIndex( ::uint32_t value);
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline bool getIsLikelyCause();
+  inline void setIsLikelyCause(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class TaskCrash::Pipeline {
+public:
+  typedef TaskCrash Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class AgentReport::Reader {
 public:
   typedef AgentReport Reads;
@@ -5276,6 +5398,116 @@
       ::capnp::bounded<13>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool MinionStatus::Reader::hasCrashes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool MinionStatus::Builder::hasCrashes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::jayrill::wire::TaskCrash,  ::capnp::Kind::STRUCT>::Reader MinionStatus::Reader::getCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::jayrill::wire::TaskCrash,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::jayrill::wire::TaskCrash,  ::capnp::Kind::STRUCT>::Builder MinionStatus::Builder::getCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::jayrill::wire::TaskCrash,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void MinionStatus::Builder::setCrashes( ::capnp::List< ::jayrill::wire::TaskCrash,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::jayrill::wire::TaskCrash,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::jayrill::wire::TaskCrash,  ::capnp::Kind::STRUCT>::Builder MinionStatus::Builder::initCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::jayrill::wire::TaskCrash,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void MinionStatus::Builder::adoptCrashes(
+    ::capnp::Orphan< ::capnp::List< ::jayrill::wire::TaskCrash,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::jayrill::wire::TaskCrash,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::jayrill::wire::TaskCrash,  ::capnp::Kind::STRUCT>> MinionStatus::Builder::disownCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::jayrill::wire::TaskCrash,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool TaskCrash::Reader::hasJobName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool TaskCrash::Builder::hasJobName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader TaskCrash::Reader::getJobName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder TaskCrash::Builder::getJobName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void TaskCrash::Builder::setJobName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder TaskCrash::Builder::initJobName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void TaskCrash::Builder::adoptJobName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> TaskCrash::Builder::disownJobName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t TaskCrash::Reader::getTaskIndex() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t TaskCrash::Builder::getTaskIndex() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TaskCrash::Builder::setTaskIndex( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t TaskCrash::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TaskCrash::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void TaskCrash::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool TaskCrash::Reader::getIsLikelyCause() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool TaskCrash::Builder::getIsLikelyCause() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void TaskCrash::Builder::setIsLikelyCause(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool AgentReport::Reader::hasResults() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/tests/unit/rpc_codec_test.cc
+++ b/tests/unit/rpc_codec_test.cc
@@ -1,5 +1,6 @@
 #include "jayrill/rpc/codec.h"
 
+#include <capnp/message.h>
 #include <capnp/serialize.h>
 #include <gtest/gtest.h>
 
@@ -68,5 +69,18 @@
                            return std::to_string(item.param.count);
                          });
 
+// Guards against a status that reaches the entry without the crashes of the
+// minion, or with other ones.
+TEST(status_codec_test, KeepsTheCrashes) {
+  minion_status status;
+  status.service = "quotes";
+  status.crashes = {{"a", 3, 7, crash_role::kLikelyCause},
+                    {"b", 0, 8, crash_role::kBeside}};
+  capnp::MallocMessageBuilder message;
+  const auto wire = message.initRoot<wire::MinionStatus>();
+  Encode(status, wire);
+  EXPECT_EQ(Decode(wire.asReader()), status);
+}
+
 }  // namespace
 }  // namespace jayrill
