Wait for runs of an earlier agent that are being stopped

Cause: an agent that finds runs of an earlier agent stops them, and started its own runs with the first report that does not list them. A minion lists a run that is being stopped neither as running nor as ended, for up to 50 ms, and the run needs its room until then. The agent's books start empty, so its first starts could bring the minion over its headroom, and a start of the same task could begin beside the old run. The class of fault is an end that is concluded from a missing line. Runs of the agent itself already wait for this time (lease_settings::stop_time).

Callers saw nothing of their own; a minion that does not reject what does not fit would take on too much.

The agent now starts runs once the stop time has passed since the first report without an old run. That report was made after the stop had begun, so the stop is over by then.

Evidence: stopping_run_test failed before: with a stop of 50 ms, the start was ordered 48 ms before the end of the old run. It passes now, with leased_minion_test and crash_role_test.

Not covered: a stop of an earlier agent that the minion carries out just before the first report of this one, which then lists nothing to wait for.

--- a/src/jayrill/agent/leased_minion.h
+++ b/src/jayrill/agent/leased_minion.h
@@ -183,6 +183,9 @@
   std::optional<std::uint64_t> last_report_before_life_;
   /// The minion runs nothing of an earlier agent, and its clock is known.
   bool synced_ = false;
+  /// When the runs of an earlier agent have ended; the latest time while the
+  /// minion lists one.
+  steady_time unknown_runs_end_at_;
   /// When the report with clock_read_ has arrived; empty: clock not known.
   std::optional<steady_time> clock_read_at_;
   minion_time clock_read_{};
--- a/src/jayrill/agent/leased_minion_reports.cc
+++ b/src/jayrill/agent/leased_minion_reports.cc
@@ -208,8 +208,15 @@
   for (const std::uint64_t id : missing) {
     OnRunNotListed(serial, id);
   }
-  // Once no run of an earlier agent is left, only this agent starts runs.
-  synced_ = synced_ || !has_unknown;
+  // Once no run of an earlier agent is left, only this agent starts runs. A run
+  // that is being stopped is not listed but still needs its room.
+  const steady_time now = time_.Now();
+  if (has_unknown) {
+    unknown_runs_end_at_ = steady_time::max();
+  } else if (unknown_runs_end_at_ == steady_time::max()) {
+    unknown_runs_end_at_ = now + settings_.stop_time;
+  }
+  synced_ = synced_ || now >= unknown_runs_end_at_;
   if (!synced_) {
     timers_.After(kReportRetryDelay,
                   guard_.Wrap([this] { RequestReport({}); }));
