Treat a headroom of 0 as none of a resource

Cause: in a capacity, 0 stood for "not limited", because a minion of the product's own interface may announce only its slots. The platform's heartbeats always state the headroom in full. A minion whose headroom had shrunk to 0, or that has no accelerator, so counted as one without a limit, and starts that do not fit were sent to it and begun there. The class of fault is one value with two meanings.

A capacity now says whether 0 means none (`zero_means_none`, in the status `zeroMeansNone`); the heartbeats of the platform set it. A minion that never has the room for a task is not offered it ahead of time either.

Ruled out: a room below what is in use (headroom_test below_use, which passes with the former comparison as well). shrinking_room_test covers the room of a run that is being stopped, or whose result is known before its slot is free; it was run on this change only.

Evidence: with the former comparison, headroom_test fails for no_processor, no_memory and no_accelerator (a trial with the field added and the comparison unchanged); it passes now. The expected room in platform_format_test has the new field and is otherwise the same.

--- a/src/jayrill/job/resource_amount.h
+++ b/src/jayrill/job/resource_amount.h
@@ -10,11 +10,13 @@
 /// slots of its minion. Used for capacities and for the needs of tasks.
 ///
 /// In a capacity, 0 means that the resource is not limited, so a minion may
-/// announce only its slots.
+/// announce only its slots, unless zero_means_none is set.
 struct resource_amount {
   std::uint32_t cpu_millis = 0;  ///< Thousandths of a core.
   std::uint32_t memory_mb = 0;
   std::uint32_t accelerators = 0;
+  /// In a capacity: a minion with 0 of a resource has none of it.
+  bool zero_means_none = false;
 
   auto operator<=>(const resource_amount&) const = default;
 
@@ -39,7 +41,8 @@
     const auto scale = [factor](std::uint32_t amount) {
       return static_cast<std::uint32_t>(amount * factor);
     };
-    return {scale(cpu_millis), scale(memory_mb), scale(accelerators)};
+    return {scale(cpu_millis), scale(memory_mb), scale(accelerators),
+            zero_means_none};
   }
 
   friend resource_amount operator+(resource_amount left,
@@ -53,11 +56,11 @@
 };
 
 /// \returns true when no amount of \p used exceeds \p capacity, where 0 is no
-/// limit.
+/// limit unless resource_amount::zero_means_none is set.
 inline bool IsWithin(const resource_amount& used,
                      const resource_amount& capacity) {
-  const auto holds = [](std::uint32_t amount, std::uint32_t limit) {
-    return limit == 0 || amount <= limit;
+  const auto holds = [&capacity](std::uint32_t amount, std::uint32_t limit) {
+    return amount <= limit || (limit == 0 && !capacity.zero_means_none);
   };
   return holds(used.cpu_millis, capacity.cpu_millis) &&
          holds(used.memory_mb, capacity.memory_mb) &&
--- a/src/jayrill/placement/minion_view.h
+++ b/src/jayrill/placement/minion_view.h
@@ -61,8 +61,9 @@
   /// kLookaheadWait and no start waits at the agent yet.
   bool CanStart(const resource_amount& needs = {}) const {
     return outstanding < start_limit &&
-           (HasRoom(needs) || (Load() <= slots && IsWithin(used, room) &&
-                               time_until_free <= kLookaheadWait));
+           (HasRoom(needs) ||
+            (Load() <= slots && IsWithin(used, room) && IsWithin(needs, room) &&
+             time_until_free <= kLookaheadWait));
   }
 
   /// \returns the part of the slots or of the processor that is in use,
@@ -72,7 +73,7 @@
         slots == 0 ? 1.0 : static_cast<double>(Load()) / slots;
     const double by_processor =
         room.cpu_millis == 0
-            ? 0.0
+            ? (room.zero_means_none ? 1.0 : 0.0)
             : static_cast<double>(used.cpu_millis) / room.cpu_millis;
     return std::max(by_slots, by_processor);
   }
@@ -80,6 +81,9 @@
   /// \returns how many tasks with \p needs can run at the same time, limited by
   /// slots, processor and memory.
   double SlotsFor(const resource_amount& needs) const {
+    if (!IsWithin(needs, room)) {
+      return 0;
+    }
     double count = slots;
     if (room.cpu_millis > 0 && needs.cpu_millis > 0) {
       count = std::min(count,
--- a/src/jayrill/rpc/codec.cc
+++ b/src/jayrill/rpc/codec.cc
@@ -77,10 +77,12 @@
   wire.setCpuMillis(amount.cpu_millis);
   wire.setMemoryMb(amount.memory_mb);
   wire.setAccelerators(amount.accelerators);
+  wire.setZeroMeansNone(amount.zero_means_none);
 }
 
 resource_amount DecodeAmount(wire::ResourceAmount::Reader wire) {
-  return {wire.getCpuMillis(), wire.getMemoryMb(), wire.getAccelerators()};
+  return {wire.getCpuMillis(), wire.getMemoryMb(), wire.getAccelerators(),
+          wire.getZeroMeansNone()};
 }
 
 template <typename Value, typename List>
--- a/src/jayrill/rpc/dispatch.capnp
+++ b/src/jayrill/rpc/dispatch.capnp
@@ -102,6 +102,7 @@
   cpuMillis @0 :UInt32;      # thousandths of a core
   memoryMb @1 :UInt32;
   accelerators @2 :UInt32;
+  zeroMeansNone @3 :Bool;    # of a capacity; otherwise 0 is not limited
 }
 
 struct Start {
--- a/src/jayrill/rpc/dispatch.capnp.h
+++ b/src/jayrill/rpc/dispatch.capnp.h
@@ -2700,6 +2700,8 @@
 
   inline  ::uint32_t getAccelerators() const;
 
+  inline bool getZeroMeansNone() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2737,6 +2739,9 @@
   inline  ::uint32_t getAccelerators();
   inline void setAccelerators( ::uint32_t value);
 
+  inline bool getZeroMeansNone();
+  inline void setZeroMeansNone(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4665,6 +4670,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool ResourceAmount::Reader::getZeroMeansNone() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+
+inline bool ResourceAmount::Builder::getZeroMeansNone() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+inline void ResourceAmount::Builder::setZeroMeansNone(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Start::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/tests/platform/platform_format_test.cc
+++ b/tests/platform/platform_format_test.cc
@@ -267,7 +267,7 @@
   EXPECT_EQ(heartbeat->minion.life, 1787822405666U);
   EXPECT_EQ(heartbeat->minion.host, "10.0.0.9");
   EXPECT_EQ(heartbeat->minion.port, 8080);
-  EXPECT_EQ(heartbeat->minion.room, (resource_amount{16000, 32768, 1}));
+  EXPECT_EQ(heartbeat->minion.room, (resource_amount{16000, 32768, 1, true}));
   EXPECT_FALSE(heartbeat->minion.draining);
 }
 
