Keep sums of needs from overflowing

Cause: the needs of a task come from its caller, up to 2^32 - 1 of each resource, and were added to what is in use without a bound. The sum wrapped round and was within the headroom. The class of fault is arithmetic on values of a caller that were checked one by one only.

Sums now stay at the highest value, which is above every headroom but an equal one.

--- a/src/jayrill/job/resource_amount.h
+++ b/src/jayrill/job/resource_amount.h
@@ -3,6 +3,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <limits>
 
 namespace jayrill {
 
@@ -20,10 +21,15 @@
 
   auto operator<=>(const resource_amount&) const = default;
 
+  /// Adds \p other; no amount overflows, so that a huge need fits nowhere.
   resource_amount& operator+=(const resource_amount& other) {
-    cpu_millis += other.cpu_millis;
-    memory_mb += other.memory_mb;
-    accelerators += other.accelerators;
+    const auto add = [](std::uint32_t left, std::uint32_t right) {
+      const std::uint32_t sum = left + right;
+      return sum < left ? std::numeric_limits<std::uint32_t>::max() : sum;
+    };
+    cpu_millis = add(cpu_millis, other.cpu_millis);
+    memory_mb = add(memory_mb, other.memory_mb);
+    accelerators = add(accelerators, other.accelerators);
     return *this;
   }
 
--- a/tests/unit/headroom_test.cc
+++ b/tests/unit/headroom_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <limits>
+
 #include "jayrill/agent/run_queue.h"
 
 namespace jayrill {
@@ -16,6 +18,7 @@
 
 /// What runs on the minion when the start arrives.
 constexpr resource_amount kInUse{1000, 64, 0};
+constexpr auto kHuge = std::numeric_limits<std::uint32_t>::max();
 
 queued_start Start(std::uint64_t number, const resource_amount& needs) {
   queued_start start;
@@ -25,8 +28,8 @@
 }
 
 // Guards against a start that brings a minion over its headroom: where a
-// resource has shrunk to nothing or was never there, and where the room is
-// below what is in use.
+// resource has shrunk to nothing or was never there, where the room is below
+// what is in use, and where the sum of the needs overflows.
 TEST_P(headroom_test, IsNeverExceeded) {
   run_queue queue(4);
   queue.Push(Start(1, kInUse));
@@ -47,7 +50,15 @@
                   {16'000, 32'768, 0, true},
                   {1000, 64, 1},
                   false},
-        room_case{"below_use", {500, 32'768, 0, true}, {1, 1, 0}, false}),
+        room_case{"below_use", {500, 32'768, 0, true}, {1, 1, 0}, false},
+        room_case{"huge_processor",
+                  {16'000, 32'768, 1, true},
+                  {kHuge, 64, 0},
+                  false},
+        room_case{"huge_memory",
+                  {16'000, 32'768, 1, true},
+                  {1000, kHuge, 0},
+                  false}),
     [](const auto& tested) { return tested.param.name; });
 
 }  // namespace
