--- a/src/jayrill/agent/leased_minion.h
+++ b/src/jayrill/agent/leased_minion.h
@@ -67,7 +67,7 @@
   }
 
  private:
-  /// A line takes some 10 us of the agent's 0.15 of a core.
+  /// Bounds the processor time of the agent that goes into its log.
   static constexpr std::uint32_t kEndLinesPerSecond = 50;
 
   enum class run_state {
