Note a crash only for the runs that it ends

Callers could be told `failed`, which is final, for a task that no minion had crashed under as often as it was counted.

Cause: when the lease of runs had passed, or a minion had restarted, the agent marked all runs with the crash, also orders without an answer that it keeps and runs that the new life lists. The mark stayed and was added to the crash log with their later end, whatever that was.

Change: roles are worked out over all runs, as before, and noted only for those that end with the crash.

Evidence: open_order_test.HasNoCrashRoleAfterAnOutage failed before (a run that outlasts an outage of its minion had the role of one beside a crash). crash_role_test and leased_minion_test pass.

--- a/src/jayrill/agent/leased_minion.h
+++ b/src/jayrill/agent/leased_minion.h
@@ -161,10 +161,11 @@
   /// \returns the end of the lease on the clock of the minion.
   minion_time ExtendLease();
   task_result MakeResult(const leased_run& run, task_outcome outcome) const;
-  /// Sets leased_run::crash of the runs that the minion may have begun before
-  /// it crashed. Unless the crash \p is_proved, none counts as its likely
-  /// cause.
-  void AssignCrashRoles(bool is_proved);
+  /// Sets leased_run::crash of those of the \p ended runs that the minion may
+  /// have begun before it crashed. Unless the crash \p is_proved, none counts
+  /// as its likely cause.
+  void AssignCrashRoles(const std::vector<std::uint64_t>& ended,
+                        bool is_proved);
 
   const lease_settings settings_;
   const clock& time_;
--- a/src/jayrill/agent/leased_minion_ends.cc
+++ b/src/jayrill/agent/leased_minion_ends.cc
@@ -97,9 +97,7 @@
                  << " open_orders=" << runs_.size() - lapsed.size() << " "
                  << reason;
   }
-  if (!lapsed.empty()) {
-    AssignCrashRoles(is_unreachable_);
-  }
+  AssignCrashRoles(lapsed, is_unreachable_);
   for (const std::uint64_t id : lapsed) {
     leased_run& run = runs_.at(id);
     run.reason = reason;
@@ -108,7 +106,8 @@
   }
 }
 
-void leased_minion::AssignCrashRoles(bool is_proved) {
+void leased_minion::AssignCrashRoles(const std::vector<std::uint64_t>& ended,
+                                     bool is_proved) {
   if (is_end_announced_) {
     return;
   }
@@ -120,7 +119,8 @@
       last_start = std::max(last_start, run.ordered_at);
     }
   }
-  for (auto& [id, run] : runs_) {
+  for (const std::uint64_t id : ended) {
+    leased_run& run = runs_.at(id);
     if (run.ordered_at <= latest_start) {
       run.crash = is_proved && run.ordered_at == last_start
                       ? crash_role::kLikelyCause
--- a/src/jayrill/agent/leased_minion_reports.cc
+++ b/src/jayrill/agent/leased_minion_reports.cc
@@ -127,8 +127,6 @@
   for (const active_run& active : report.running) {
     present.insert(active.run);
   }
-  AssignCrashRoles(true);
-  is_end_announced_ = minion_->draining;
   std::vector<std::uint64_t> ended;
   for (auto& [id, run] : runs_) {
     if (!present.contains(run.name)) {
@@ -136,6 +134,8 @@
       ended.push_back(id);
     }
   }
+  AssignCrashRoles(ended, true);
+  is_end_announced_ = minion_->draining;
   LOG(WARNING) << "lease: the minion has restarted life=" << life_
                << " runs_ended=" << ended.size();
   for (const std::uint64_t id : ended) {
--- a/tests/unit/crash_role_test.cc
+++ b/tests/unit/crash_role_test.cc
@@ -67,6 +67,23 @@
   EXPECT_EQ(rig.results[2].crash, GetParam().last);
 }
 
+// Guards against a crash that is noted for a run that goes on: its order had no
+// answer in an outage, and the minion comes back without a crash.
+TEST(open_order_test, HasNoCrashRoleAfterAnOutage) {
+  leased_rig rig;
+  rig.Start(1);
+  rig.minion.SetReachable(false);
+  rig.Start(2);
+  rig.timers.RunFor(milliseconds(1800));
+  ASSERT_TRUE(rig.results.contains(1));
+  ASSERT_FALSE(rig.results.contains(2));
+  rig.minion.SetReachable(true);
+  rig.agent.OnAnnounced(rig.minion.Announcement());
+  rig.timers.RunFor(milliseconds(1000));
+  ASSERT_TRUE(rig.results.contains(2));
+  EXPECT_EQ(rig.results[2].crash, crash_role::kNone);
+}
+
 void Crash(leased_rig& rig) {
   rig.minion.Crash();
 }
