Count only crashes that are proved

Callers could be told `failed`, which is final, for a task under which no minion had crashed.

Cause: when the lease of runs had passed without an answer, the agent noted a crash for them, and three of these give a task up. A minion that is frozen, slow or silent has not crashed.

Change: a lapsed lease counts as a crash only when connections are refused. An error status is of unknown outcome.

Test: crash_role_test/no_answer expected the role "beside a crash" and now expects none, which is stricter against wrong blame; with the old expectation it passed on the code before, so the new one fails there. New rows connections_refused and reports_fail pass; they were not run on the code before.

A crash that shows only as silence is counted for the calls that are still there when the next life appears, and not for those that have ended.

--- a/src/jayrill/agent/leased_minion.h
+++ b/src/jayrill/agent/leased_minion.h
@@ -42,7 +42,8 @@
 /// An order may be carried out late and its answer may be lost. A call
 /// therefore ends only when the minion has reported the end of its run or
 /// cannot run it any more: a stop was acknowledged and a later report does not
-/// list the run, the lease has expired, or the minion has restarted.
+/// list the run, the lease of a run that was confirmed has expired, or the
+/// minion has restarted.
 ///
 /// Not thread-safe. All I/O goes through the run_control and the scheduler,
 /// whose callbacks must come on the thread that calls this class.
@@ -162,10 +163,8 @@
   minion_time ExtendLease();
   task_result MakeResult(const leased_run& run, task_outcome outcome) const;
   /// Sets leased_run::crash of those of the \p ended runs that the minion may
-  /// have begun before it crashed. Unless the crash \p is_proved, none counts
-  /// as its likely cause.
-  void AssignCrashRoles(const std::vector<std::uint64_t>& ended,
-                        bool is_proved);
+  /// have begun before it crashed.
+  void AssignCrashRoles(const std::vector<std::uint64_t>& ended);
 
   const lease_settings settings_;
   const clock& time_;
--- a/src/jayrill/agent/leased_minion_ends.cc
+++ b/src/jayrill/agent/leased_minion_ends.cc
@@ -97,7 +97,10 @@
                  << " open_orders=" << runs_.size() - lapsed.size() << " "
                  << reason;
   }
-  AssignCrashRoles(lapsed, is_unreachable_);
+  // A minion that is silent or fails need not have crashed.
+  if (is_unreachable_) {
+    AssignCrashRoles(lapsed);
+  }
   for (const std::uint64_t id : lapsed) {
     leased_run& run = runs_.at(id);
     run.reason = reason;
@@ -106,8 +109,7 @@
   }
 }
 
-void leased_minion::AssignCrashRoles(const std::vector<std::uint64_t>& ended,
-                                     bool is_proved) {
+void leased_minion::AssignCrashRoles(const std::vector<std::uint64_t>& ended) {
   if (is_end_announced_) {
     return;
   }
@@ -122,9 +124,8 @@
   for (const std::uint64_t id : ended) {
     leased_run& run = runs_.at(id);
     if (run.ordered_at <= latest_start) {
-      run.crash = is_proved && run.ordered_at == last_start
-                      ? crash_role::kLikelyCause
-                      : crash_role::kBeside;
+      run.crash = run.ordered_at == last_start ? crash_role::kLikelyCause
+                                               : crash_role::kBeside;
     }
   }
 }
--- a/src/jayrill/agent/leased_minion_reports.cc
+++ b/src/jayrill/agent/leased_minion_reports.cc
@@ -134,7 +134,7 @@
       ended.push_back(id);
     }
   }
-  AssignCrashRoles(ended, true);
+  AssignCrashRoles(ended);
   is_end_announced_ = minion_->draining;
   LOG(WARNING) << "lease: the minion has restarted life=" << life_
                << " runs_ended=" << ended.size();
--- a/tests/support/minion_standin.h
+++ b/tests/support/minion_standin.h
@@ -120,6 +120,9 @@
   /// out 2 to 12 s later.
   void SetReachable(bool reachable) { reachable_ = reachable; }
 
+  /// While it refuses connections, as after its end, no call is carried out.
+  void SetRefusesConnections(bool refuses) { refuses_connections_ = refuses; }
+
   void SetMinion(const announcement& /*minion*/) override {}
 
   void Start(const run_order& order,
@@ -137,6 +140,12 @@
 
   void Renew(const renewal& request,
              std::function<void(result<run_report>)> done) override {
+    if (refuses_connections_) {
+      timers_.After(kRoundTrip, [done] {
+        done(MakeError(error_kind::kUnavailable, "refused", "ask again"));
+      });
+      return;
+    }
     if (!reachable_ || random_.Below(100) < faults_.late_renewals) {
       ApplyLate([this, request] { ApplyRenewal(request); });
       timers_.After(kAnswerTimeout, [done] { done(NoAnswer()); });
@@ -145,7 +154,7 @@
     if (random_.Below(100) < faults_.renewal_errors) {
       timers_.After(kRoundTrip, [this, request, done] {
         ApplyRenewal(request);
-        done(MakeError(error_kind::kUnavailable, "status 500", "ask again"));
+        done(MakeError(error_kind::kUnknownOutcome, "status 500", "ask again"));
       });
       return;
     }
@@ -201,6 +210,10 @@
   /// or that its answer is lost.
   void Deliver(std::function<order_answer()> operation,
                std::function<void(order_answer)> done) {
+    if (refuses_connections_) {
+      timers_.After(kRoundTrip, [done] { done(order_answer::kUnhealthy); });
+      return;
+    }
     const std::uint64_t draw = random_.Below(100);
     if (!reachable_ || draw < faults_.late_orders) {
       ApplyLate([operation] { operation(); });
@@ -348,6 +361,7 @@
   minion_faults faults_;
   steady_time started_at_;
   bool reachable_ = true;
+  bool refuses_connections_ = false;
   std::uint64_t life_ = 1;
   std::uint64_t token_ = 0;
   std::uint64_t sequence_ = 0;
--- a/tests/unit/crash_role_test.cc
+++ b/tests/unit/crash_role_test.cc
@@ -94,6 +94,12 @@
 void StopAnswering(leased_rig& rig) {
   rig.minion.SetFaults({.lost_answers = 100, .hangs = 100});
 }
+void RefuseConnections(leased_rig& rig) {
+  rig.minion.SetRefusesConnections(true);
+}
+void FailReports(leased_rig& rig) {
+  rig.minion.SetFaults({.hangs = 100, .renewal_errors = 100});
+}
 void Leave(leased_rig& rig) {
   rig.agent.SetMinionLeft(true);
   rig.minion.Crash();
@@ -117,8 +123,12 @@
                   crash_role::kLikelyCause},
         role_case{"crash_announced", CrashAndAnnounce, crash_role::kBeside,
                   crash_role::kLikelyCause},
-        role_case{"no_answer", StopAnswering, crash_role::kBeside,
-                  crash_role::kBeside},
+        role_case{"connections_refused", RefuseConnections, crash_role::kBeside,
+                  crash_role::kLikelyCause},
+        role_case{"no_answer", StopAnswering, crash_role::kNone,
+                  crash_role::kNone},
+        role_case{"reports_fail", FailReports, crash_role::kNone,
+                  crash_role::kNone},
         role_case{"leave", Leave, crash_role::kNone, crash_role::kNone},
         role_case{"drain", DrainAndEnd, crash_role::kNone, crash_role::kNone},
         role_case{"stop", StopRuns, crash_role::kNone, crash_role::kNone}),
