--- a/tests/support/minion_standin.h
+++ b/tests/support/minion_standin.h
@@ -39,6 +39,9 @@
     broken_promises_ += begun_.contains(call) ? 1 : 0;
   }
 
+  /// \returns true when the order of \p call has been carried out.
+  bool HasBegun(const std::string& call) const { return begun_.contains(call); }
+
   int overlaps() const { return overlaps_; }
   int broken_promises() const { return broken_promises_; }
 
--- a/tests/unit/leased_minion_test.cc
+++ b/tests/unit/leased_minion_test.cc
@@ -312,6 +312,25 @@
   EXPECT_EQ(fixture.results[open].outcome, task_outcome::kInterrupted);
 }
 
+// Guards against an order that outlives the life of the minion in which a stop
+// has fenced it, and is carried out in the next life before the agent has sent
+// a higher fencing token. The call has ended by then, and its task may run
+// elsewhere.
+TEST(leased_minion_test, AnOrderOfAnEarlierLifeIsNotCarriedOut) {
+  leased_minion_fixture fixture(1, {.late_orders = 100});
+  fixture.repeat = false;
+  // The clock of the next life is behind the lease that the order names.
+  fixture.timers.RunFor(milliseconds(60'000));
+  const std::uint64_t call = fixture.Start(0, 0);
+  fixture.timers.RunFor(milliseconds(50));
+  fixture.minions[0]->SetFaults({});
+  fixture.timers.RunFor(milliseconds(500));
+  ASSERT_EQ(fixture.results[call].outcome, task_outcome::kInterrupted);
+  fixture.minions[0]->Crash();
+  fixture.timers.RunFor(milliseconds(12'000));
+  EXPECT_FALSE(fixture.monitor.HasBegun(std::to_string(call)));
+}
+
 // Guards against an agent that refuses all calls after its minion was out of
 // reach for longer than a lease, because nothing asks the minion any more.
 TEST(leased_minion_test, AMinionThatAnswersAgainIsUsedAgain) {
