Start tasks again without retry budget after a refusal for their age

Callers could be refused (503, retries exhausted) after a short pause of their entry, though minions were free.

Cause: an entry that reads reports late, as after a pause, knows an old time of each agent, so agents take its first starts for late ones and refuse them. Each refusal took one of at most 200 tokens of the retry budget, as if the minion had refused it.

Change: such a refusal needs no budget, as with an older configuration. The report that brings it brings the agent's newer time as well. The limit of starts of one task stays.

Evidence: start_age_test.LateStartsNeedNoRetryBudget failed before: 300 tasks that were refused once ended their job with retries_exhausted. The tests of refusals, overload, returns and the property of the dispatcher pass.

--- a/src/jayrill/entry/dispatcher_results.cc
+++ b/src/jayrill/entry/dispatcher_results.cc
@@ -121,11 +121,12 @@
   }
   const std::uint32_t max_starts =
       job.spec.repeatable ? kMaxStartsPerRepeatableTask : kMaxStartsPerTask;
-  // The entry receives the newer configuration or the load of the minion with
-  // this result, so the next start is not refused for the same reason and needs
-  // no retry budget.
-  const bool needs_no_budget =
-      is_return || result.reason == not_run_reason::kStaleConfig;
+  // The entry receives the newer configuration, the load of the minion or the
+  // time of the agent with this result, so the next start is not refused for
+  // the same reason and needs no retry budget.
+  const bool needs_no_budget = is_return ||
+                               result.reason == not_run_reason::kStaleConfig ||
+                               result.reason == not_run_reason::kExpired;
   if (task.starts - task.returns >= max_starts ||
       (!needs_no_budget && !retry_budget_.TryTake())) {
     const std::string reason = result.message.empty()
--- a/tests/entry/fake_agent.h
+++ b/tests/entry/fake_agent.h
@@ -117,7 +117,9 @@
           start_gate::decision::kAdmitted) {
         continue;
       }
-      if (batch.revision < hello_.status.revision) {
+      if (refuses_late_starts_) {
+        AddNotRun(order.number, not_run_reason::kExpired);
+      } else if (batch.revision < hello_.status.revision) {
         AddNotRun(order.number, not_run_reason::kStaleConfig);
       } else if (config_ && config_->IsOut(hello_.data_centre)) {
         AddNotRun(order.number, not_run_reason::kDataCentreOut);
@@ -140,6 +142,9 @@
     expected_wait_ = wait;
   }
 
+  /// Makes the agent refuse starts as if they had arrived too late.
+  void SetRefusesLateStarts(bool refuses) { refuses_late_starts_ = refuses; }
+
   /// Drops the newest batch.
   void LoseBatch() {
     if (!inbox_.empty()) {
@@ -233,6 +238,7 @@
   std::deque<start_request> running_;
   std::vector<task_result> results_;
   std::chrono::milliseconds expected_wait_{};
+  bool refuses_late_starts_ = false;
   std::pair<std::optional<dispatcher::connect_reply>, std::vector<task_result>>
       late_report_;
 };
--- a/tests/entry/start_age_test.cc
+++ b/tests/entry/start_age_test.cc
@@ -62,6 +62,27 @@
   EXPECT_EQ(SendStart(), seconds(52));
 }
 
+// Guards against a job that is refused because its agent took the first starts
+// after a pause of the entry for late ones. The report with the refusals brings
+// the newer time, so the next starts are not refused.
+TEST_F(start_age_test, LateStartsNeedNoRetryBudget) {
+  constexpr std::uint32_t kMoreThanTheBudget = 300;
+  agent_->status().slots = kMoreThanTheBudget;
+  Connect(seconds(50));
+  agent_->SetRefusesLateStarts(true);
+  job_spec spec = fake_cluster::Job(kMoreThanTheBudget, seconds(20));
+  spec.repeatable = true;
+  const job_id job = cluster_.Submit(spec);
+  cluster_.entry.Flush();
+  agent_->DeliverBatch();
+  agent_->Report(cluster_.entry, true);
+  EXPECT_EQ(cluster_.CodeOf(job), "");
+  agent_->SetRefusesLateStarts(false);
+  cluster_.entry.Flush();
+  agent_->DeliverBatch();
+  EXPECT_EQ(agent_->queued_starts(), kMoreThanTheBudget);
+}
+
 // Guards against a time that belongs to the clock of an earlier machine, or to
 // an agent of an earlier release, which does not send its time.
 TEST_F(start_age_test, UnknownTimeStaysUnknown) {
