--- a/src/jayrill/agent/leased_minion.h
+++ b/src/jayrill/agent/leased_minion.h
@@ -9,10 +9,10 @@
 #include <vector>
 
 #include "jayrill/agent/end_proof.h"
-#include "jayrill/agent/internal/log_limit.h"
 #include "jayrill/agent/minion_port.h"
 #include "jayrill/agent/run_control.h"
 #include "jayrill/base/clock.h"
+#include "jayrill/base/log_limit.h"
 #include "jayrill/session/pause_detector.h"
 #include "jayrill/store/scheduler.h"
 
@@ -68,9 +68,6 @@
   }
 
  private:
-  /// Bounds the processor time of the agent that goes into its log.
-  static constexpr std::uint32_t kEndLinesPerSecond = 50;
-
   enum class run_state {
     kOrdered,   ///< The order to start it has no answer yet.
     kRunning,   ///< The minion has confirmed that it runs.
@@ -211,7 +208,7 @@
   bool is_end_announced_ = false;
   bool retry_scheduled_ = false;
   steady_time last_event_at_;  ///< For CheckPause.
-  agent::internal::log_limit end_log_limit_{kEndLinesPerSecond};
+  log_limit end_log_limit_;
   callback_guard guard_;
 };
 
--- a/src/jayrill/agent/leased_minion_ends.cc
+++ b/src/jayrill/agent/leased_minion_ends.cc
@@ -38,8 +38,7 @@
     return;
   }
   const steady_time now = time_.Now();
-  const auto left_out = end_log_limit_.Admit(now);
-  if (!left_out) {
+  if (!end_log_limit_.Allows(now)) {
     return;
   }
   using std::chrono::duration_cast;
@@ -56,8 +55,8 @@
             << " not_run=" << (outcome.outcome == task_outcome::kNotRun)
             << " has_run=" << run.has_run << " tries=" << run.order_tries
             << " report_age_ms=" << report_age << " life=" << life_
-            << " token=" << token_ << " left_out=" << *left_out << " reason=\""
-            << outcome.message << "\"";
+            << " token=" << token_ << " reason=\"" << outcome.message << "\""
+            << end_log_limit_.TakeLinesLeftOutField();
 }
 
 void leased_minion::Finish(std::uint64_t id,
