Show that runs outlive an entry and an agent that fail one after the other

Cause: the silence limit of an entry and the lease of a run add up when the agent fails within the silence limit: 0.5 + 1.0 s are more than the 1.3 s after which clients send their jobs again.

The stand-ins choose ports below the range of outgoing connections, because a port was taken in one play.

--- a/review/standin/fleet.hpp
+++ b/review/standin/fleet.hpp
@@ -52,10 +52,19 @@
   return done && done();
 }
 
+// \returns an address with a free port that was not returned before. The ports
+// are below those that the system chooses for connections.
 inline QString FreeAddress() {
-  QTcpServer probe;
-  probe.listen(QHostAddress::LocalHost);
-  return QStringLiteral("127.0.0.1:%1").arg(probe.serverPort());
+  static std::set<int> given;
+  while (true) {
+    const int port = QRandomGenerator::global()->bounded(12'000, 32'000);
+    QTcpServer probe;
+    if (!given.contains(port) &&
+        probe.listen(QHostAddress::LocalHost, static_cast<quint16>(port))) {
+      given.insert(port);
+      return QStringLiteral("127.0.0.1:%1").arg(port);
+    }
+  }
 }
 
 // A process of the project. It is killed with this object, or with this
@@ -191,6 +200,10 @@
   std::size_t minion_count() const { return minions_.size(); }
   record& log() { return log_; }
 
+  // Start a process again that has ended, at the same addresses.
+  void RestartEntry(std::size_t index) { Launch(entries_.at(index)); }
+  void RestartAgent(std::size_t index) { Launch(agents_.at(index)); }
+
   // How often a run has begun while another run of its task was at work.
   int overlaps() const { return overlaps_; }
 
@@ -305,12 +318,7 @@
     return jobs->completed == jobs->sent;
   }
 
-  void StartEntry(int index) {
-    entry node;
-    node.name = QStringLiteral("edge-%1").arg(index + 1);
-    node.http = FreeAddress();
-    node.health = FreeAddress();
-    node.rpc = FreeAddress();
+  void Launch(entry& node) {
     node.process = std::make_unique<role_process>(
         QStringLiteral("entry"),
         std::map<QString, QString>{
@@ -327,17 +335,23 @@
             {QStringLiteral("JAYRILL_SLOW_START_MS"), QStringLiteral("0")},
             {QStringLiteral("JAYRILL_STOP_DELAY_MS"), QStringLiteral("2000")}},
         logs_.filePath(node.name));
+  }
+
+  void StartEntry(int index) {
+    entry node;
+    node.name = QStringLiteral("edge-%1").arg(index + 1);
+    node.http = FreeAddress();
+    node.health = FreeAddress();
+    node.rpc = FreeAddress();
+    Launch(node);
     entries_.push_back(std::move(node));
   }
 
-  void StartAgent(int index) {
+  void Launch(agent& node) {
     QStringList seeds;
     for (const entry& node : entries_) {
       seeds.append(node.rpc);
     }
-    agent node;
-    node.name = QStringLiteral("side-%1").arg(index + 1);
-    node.address = FreeAddress();
     node.process = std::make_unique<role_process>(
         QStringLiteral("agent"),
         std::map<QString, QString>{
@@ -354,6 +368,13 @@
             {QStringLiteral("JAYRILL_STATUS_INTERVAL_MS"),
              QStringLiteral("5")}},
         logs_.filePath(node.name));
+  }
+
+  void StartAgent(int index) {
+    agent node;
+    node.name = QStringLiteral("side-%1").arg(index + 1);
+    node.address = FreeAddress();
+    Launch(node);
     agents_.push_back(std::move(node));
   }
 
