--- a/review/standin/fleet.hpp
+++ b/review/standin/fleet.hpp
@@ -257,7 +257,7 @@
   void Submit(const job& item,
               std::size_t first,
               std::size_t second,
-              std::function<void(int)> done) {
+              const std::function<void(int)>& done) {
     Post(item, first, [this, item, second, done](int status) {
       if (status != 0 && status != 502 && status != 504) {
         done(status);
--- a/review/standin/http.hpp
+++ b/review/standin/http.hpp
@@ -116,6 +116,24 @@
   QTcpServer server_;
 };
 
+// A request that a client has sent and that has not ended yet.
+struct client_call {
+  QTcpSocket* socket = nullptr;
+  std::function<void(const http_message&)> done;
+  QByteArray received;
+  bool has_ended = false;
+
+  void End(const http_message& response) {
+    if (has_ended) {
+      return;
+    }
+    has_ended = true;
+    socket->close();
+    socket->deleteLater();
+    done(response);
+  }
+};
+
 // Sends one request on a connection of its own. Without a response within
 // `timeout_ms` the client closes the connection and `done` gets status 0.
 inline void SendRequest(const QString& address,
@@ -126,38 +144,32 @@
                         int timeout_ms,
                         std::function<void(const http_message&)> done) {
   auto* const socket = new QTcpSocket;
-  const auto buffer = std::make_shared<QByteArray>();
-  const auto finish =
-      std::make_shared<std::function<void(const http_message&)>>();
-  *finish = [socket, finish, done = std::move(done)](const http_message& m) {
-    const auto keep = finish;
-    socket->disconnect();
-    socket->close();
-    socket->deleteLater();
-    done(m);
-    *finish = [](const http_message&) {};
-  };
-  QByteArray head = method + ' ' + target + " HTTP/1.1\r\n";
+  const auto call = std::make_shared<client_call>();
+  call->socket = socket;
+  call->done = std::move(done);
+  QByteArray request = method + ' ' + target + " HTTP/1.1\r\n";
   for (auto it = headers.begin(); it != headers.end(); ++it) {
-    head += it.key() + ": " + it.value() + "\r\n";
+    request += it.key() + ": " + it.value() + "\r\n";
   }
-  head += "Content-Type: application/json\r\nContent-Length: " +
-          QByteArray::number(body.size()) + "\r\n\r\n";
+  request += "Content-Type: application/json\r\nContent-Length: " +
+             QByteArray::number(body.size()) + "\r\n\r\n" + body;
   QObject::connect(socket, &QTcpSocket::connected, socket,
-                   [socket, head, body] { socket->write(head + body); });
-  QObject::connect(socket, &QTcpSocket::readyRead, socket,
-                   [socket, buffer, finish] {
-                     buffer->append(socket->readAll());
-                     http_message response;
-                     if (TakeMessage(*buffer, response)) {
-                       (*finish)(response);
-                     }
-                   });
+                   [socket, request] { socket->write(request); });
+  QObject::connect(socket, &QTcpSocket::readyRead, socket, [call] {
+    if (call->has_ended) {
+      return;
+    }
+    call->received += call->socket->readAll();
+    http_message response;
+    if (TakeMessage(call->received, response)) {
+      call->End(response);
+    }
+  });
   QObject::connect(socket, &QTcpSocket::disconnected, socket,
-                   [finish] { (*finish)({}); });
+                   [call] { call->End({}); });
   QObject::connect(socket, &QTcpSocket::errorOccurred, socket,
-                   [finish](QAbstractSocket::SocketError) { (*finish)({}); });
-  QTimer::singleShot(timeout_ms, socket, [finish] { (*finish)({}); });
+                   [call](QAbstractSocket::SocketError) { call->End({}); });
+  QTimer::singleShot(timeout_ms, socket, [call] { call->End({}); });
   const QStringList parts = address.split(u':');
   socket->connectToHost(QHostAddress(parts[0]), parts[1].toUShort());
 }
--- a/review/standin/main.cpp
+++ b/review/standin/main.cpp
@@ -13,7 +13,8 @@
 
 namespace {
 
-using namespace review;
+using review::record;
+using review::verdict;
 
 constexpr int kTimeLimitMs = 115'000;
 
@@ -23,11 +24,11 @@
 };
 
 constexpr std::array<named_case, 5> kCases{{
-    {"frozen-entry", &FrozenEntry},
-    {"late-stops", &LateStops},
-    {"spec-with-mark", &SpecWithMark},
-    {"cancelled-job", &CancelledJob},
-    {"entry-then-agent", &EntryThenAgent},
+    {"frozen-entry", &review::FrozenEntry},
+    {"late-stops", &review::LateStops},
+    {"spec-with-mark", &review::SpecWithMark},
+    {"cancelled-job", &review::CancelledJob},
+    {"entry-then-agent", &review::EntryThenAgent},
 }};
 
 }  // namespace
--- a/review/standin/minion.hpp
+++ b/review/standin/minion.hpp
@@ -41,9 +41,10 @@
       : options_(std::move(options)),
         log_(log),
         on_begin_(std::move(on_begin)),
-        server_([this](const http_message& request, reply_function reply) {
-          Receive(request, std::move(reply));
-        }) {
+        server_(
+            [this](const http_message& request, const reply_function& reply) {
+              Receive(request, reply);
+            }) {
     clock_.start();
     born_ = QDateTime::currentMSecsSinceEpoch();
     QObject::connect(&tick_, &QTimer::timeout, &tick_, [this] { Tick(); });
@@ -99,7 +100,7 @@
                 [](const http_message&) {});
   }
 
-  void Receive(const http_message& request, reply_function reply) {
+  void Receive(const http_message& request, const reply_function& reply) {
     const QString path = request.target.path();
     const bool is_order = path != u"/v1/hold";
     if (is_order &&
