Bound the lease of runs by the last sign of their entries

What callers saw: a task that ran twice at the same time.

Cause: each report renewed the lease by 1 s, also while the entry of a run was silent. The silence limit (650 ms) and the lease (1,000 ms) added up.

Ruled out: a late stop and a late notice of the death; an agent that fails at once or after 0.3 s leaves no overlap.

Now the core keeps for each run until when its entry is known to have waited for it, and the lease never reaches more than 4/5 of repeat_after_ms beyond that.

--- a/src/jayrill/agent.h
+++ b/src/jayrill/agent.h
@@ -17,6 +17,7 @@
 #include "jayrill/agent/entry_session.h"
 #include "jayrill/agent/minion_client.h"
 #include "jayrill/agent/report_schedule.h"
+#include "jayrill/agent/run_guard.h"
 #include "jayrill/agent/run_queue.h"
 #include "jayrill/agent/task_call.h"
 
--- a/src/jayrill/agent/agent_core.cc
+++ b/src/jayrill/agent/agent_core.cc
@@ -202,7 +202,7 @@
       Refuse(entry, order.number,
              {not_run_reason::kQueueFull, "the agent's queue is full"}, {});
     } else {
-      Enqueue(entry, order);
+      Enqueue(entry, order, batch.placed.value_or(now));
     }
   }
   DispatchWaiting();
@@ -214,10 +214,12 @@
          time_.Now() - *batch.placed > settings_.silence_timeout;
 }
 
-void agent_core::Enqueue(incarnation entry, const start_request& order) {
+void agent_core::Enqueue(incarnation entry,
+                         const start_request& order,
+                         steady_time placed) {
   const steady_time now = time_.Now();
   ++counters_.admitted;
-  queue_.Push({entry, order, now, now + order.remaining});
+  queue_.Push({entry, order, now, now + order.remaining, placed});
 }
 
 std::optional<agent_core::refusal> agent_core::FindRefusal(
@@ -280,6 +282,7 @@
 void agent_core::StartCall(queued_start start) {
   const steady_time now = time_.Now();
   const std::uint64_t call = ++last_call_;
+  const run_guard_ptr guard(new run_guard(start.placed));
   running_[call] = {start.entry,
                     sessions_[start.entry].generation(),
                     start.order.number,
@@ -291,10 +294,11 @@
                     start.order.typical_run,
                     {},
                     start.order.needs,
-                    false};
+                    false,
+                    guard};
   ++counters_.calls;
-  host_.Call(
-      {call, std::move(start.order), minion_->port, now, start.deadline});
+  host_.Call({call, std::move(start.order), minion_->port, now, start.deadline,
+              guard});
 }
 
 void agent_core::OnResult(std::uint64_t call, task_result outcome) {
@@ -421,6 +425,16 @@
   sessions_[entry].OnAlive(when);
 }
 
+void agent_core::OnReportAnswered(incarnation entry, steady_time sent) {
+  OnAlive(entry, sent);
+  const std::uint64_t generation = sessions_[entry].generation();
+  for (auto& [call, run] : running_) {
+    if (run.entry == entry && run.generation == generation) {
+      run.guard->Extend(sent);
+    }
+  }
+}
+
 bool agent_core::HasGuardedRuns(incarnation entry) const {
   return settings_.silence_timeout.count() > 0 &&
          std::any_of(running_.begin(), running_.end(), [&](const auto& item) {
--- a/src/jayrill/agent/agent_core.h
+++ b/src/jayrill/agent/agent_core.h
@@ -153,6 +153,11 @@
   /// wait in sockets, so this is not the time of their arrival.
   void OnAlive(incarnation entry, steady_time when);
 
+  /// \p entry has answered the report that was sent at \p sent. Cancellations
+  /// travel in order with such answers, so that it still waited for the runs
+  /// that it has not cancelled.
+  void OnReportAnswered(incarnation entry, steady_time sent);
+
   /// \returns true when tasks of \p entry run and would be stopped if the entry
   /// stayed silent for agent_settings::silence_timeout.
   bool HasGuardedRuns(incarnation entry) const;
@@ -173,6 +178,7 @@
     std::chrono::microseconds run_time{};
     resource_amount needs;
     bool stopped = false;  ///< Was stopped because its entry was silent.
+    run_guard_ptr guard = {};
   };
   struct refusal {
     not_run_reason reason;
@@ -202,7 +208,9 @@
   void DisconnectAfterPause();
   void DispatchWaiting();
   void StartCall(queued_start start);
-  void Enqueue(incarnation entry, const start_request& order);
+  void Enqueue(incarnation entry,
+               const start_request& order,
+               steady_time placed);
   void RefuseWaiting(const std::function<bool(const queued_start&)>& matches,
                      const refusal& why);
   void Refuse(incarnation entry,
--- a/src/jayrill/agent/entry_link.cc
+++ b/src/jayrill/agent/entry_link.cc
@@ -437,7 +437,7 @@
   if (!OnMessage(serial)) {
     return;
   }
-  context_.core.OnAlive(entry_, sent);
+  context_.core.OnReportAnswered(entry_, sent);
   schedule_.SetWantedStatusInterval(status_interval);
   schedule_.SetHeartbeat(heartbeat);
   context_.core.SetHeartbeat(schedule_.heartbeat());
--- a/src/jayrill/agent/leased_minion.cc
+++ b/src/jayrill/agent/leased_minion.cc
@@ -131,27 +131,47 @@
   RequestReportIfNeeded();
 }
 
-minion_time leased_minion::ExtendLease() {
+std::chrono::milliseconds leased_minion::LeaseLimit() const {
   const steady_time now = time_.Now();
-  const auto lease =
-      std::chrono::duration_cast<std::chrono::microseconds>(settings_.lease);
+  steady_time end = now + settings_.lease;
+  if (settings_.unawaited_limit.count() > 0) {
+    for (const auto& [id, run] : runs_) {
+      if (run.call.guard) {
+        end = std::min(
+            end, run.call.guard->awaited_at() + settings_.unawaited_limit);
+      }
+    }
+  }
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::max(end, now) - now);
+}
+
+minion_time leased_minion::ExtendLease(std::chrono::milliseconds lease) {
+  const steady_time now = time_.Now();
+  const std::chrono::duration<double, std::milli> longest =
+      (1 + kMinionClockError) * lease;
   lease_end_ = std::max(
-      lease_end_,
-      now +
-          std::chrono::microseconds(static_cast<std::int64_t>(
-              static_cast<double>(lease.count()) * (1 + kMinionClockError))) +
-          kLeaseMargin);
+      lease_end_, now + std::chrono::duration_cast<steady_duration>(longest) +
+                      kLeaseMargin);
   const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(
       now - clock_read_at_.value_or(now));
-  return clock_read_ + since + settings_.lease;
+  return clock_read_ + since + lease;
 }
 
 void leased_minion::SendStart(std::uint64_t id) {
   leased_run& run = runs_.at(id);
+  const std::chrono::milliseconds lease = LeaseLimit();
+  if (lease < settings_.report_wait) {
+    // No report could renew it in time.
+    run.reason = "the lease is held back by a run of a silent entry";
+    run.cause = not_run_reason::kNoMinion;
+    Finish(id, MakeResult(run, task_outcome::kNotRun), end_proof::kNotOrdered);
+    return;
+  }
   run.ordered_at = time_.Now();
   ++run.order_tries;
   control_.Start(
-      {run.name, run.call.order.payload, token_, ExtendLease()},
+      {run.name, run.call.order.payload, token_, ExtendLease(lease)},
       guard_.Wrap([this, id, attempt = run.name.attempt](order_answer answer) {
         OnStartAnswer(id, attempt, answer);
       }));
--- a/src/jayrill/agent/leased_minion.h
+++ b/src/jayrill/agent/leased_minion.h
@@ -32,6 +32,9 @@
   /// Longest time from an acknowledged stop to the end of the run. Until then
   /// the minion may list the run neither as running nor as ended.
   std::chrono::milliseconds stop_time{100};
+  /// The lease ends at most this long after the entry of each run was last
+  /// known to wait for it; see run_guard. Zero: only \p lease bounds it.
+  std::chrono::milliseconds unawaited_limit{};
 
   auto operator<=>(const lease_settings&) const = default;
 };
@@ -155,9 +158,13 @@
   /// Raises the fencing token after the minion has refused it or restarted.
   void RaiseToken();
   run_map::iterator FindRunOfTask(const run_name& task);
-  /// Extends lease_end_ for an order that is sent now.
+  /// \returns the longest lease that may be given now: lease_settings::lease,
+  /// or less when the entry of one of the runs is silent. A lease holds for all
+  /// runs of the minion and never shortens. Zero: none.
+  std::chrono::milliseconds LeaseLimit() const;
+  /// Extends lease_end_ for an order that is sent now and gives \p lease.
   /// \returns the end of the lease on the clock of the minion.
-  minion_time ExtendLease();
+  minion_time ExtendLease(std::chrono::milliseconds lease);
   task_result MakeResult(const leased_run& run, task_outcome outcome) const;
   /// Sets leased_run::crash of those of the \p ended runs that the minion may
   /// have begun before it crashed.
--- a/src/jayrill/agent/leased_minion_reports.cc
+++ b/src/jayrill/agent/leased_minion_reports.cc
@@ -43,7 +43,10 @@
   request.wait = wait;
   if (clock_read_at_ && !runs_.empty() &&
       failed_reports_ < kMaxRenewalFailures) {
-    request.lease_until = ExtendLease();
+    const std::chrono::milliseconds lease = LeaseLimit();
+    if (lease.count() > 0) {
+      request.lease_until = ExtendLease(lease);
+    }
   }
   const std::uint64_t serial = ++last_serial_;
   control_.Renew(
--- a/src/jayrill/agent/run_queue.h
+++ b/src/jayrill/agent/run_queue.h
@@ -21,6 +21,8 @@
   start_request order;
   steady_time arrived;
   steady_time deadline;
+  /// The entry placed the start then or later.
+  steady_time placed = {};
 
   auto operator<=>(const queued_start&) const = default;
 };
--- a/src/jayrill/agent/task_call.h
+++ b/src/jayrill/agent/task_call.h
@@ -4,6 +4,7 @@
 #include <compare>
 #include <cstdint>
 
+#include "jayrill/agent/run_guard.h"
 #include "jayrill/base/clock.h"
 #include "jayrill/job/start_request.h"
 
@@ -16,6 +17,8 @@
   std::uint16_t port = 0;  ///< Of the minion.
   steady_time released;    ///< When the agent core took it from its queue.
   steady_time deadline;    ///< Of its job.
+  /// Bounds the lease of the run; empty: nothing does.
+  run_guard_ptr guard = {};
 
   auto operator<=>(const task_call&) const = default;
 };
--- a/src/jayrill/cli/agent_role.cc
+++ b/src/jayrill/cli/agent_role.cc
@@ -17,9 +17,7 @@
   platform::agent_adapter adapter(time);
   agent_overrides overrides;
   if (absl::GetFlag(FLAGS_platform)) {
-    lease_settings lease;
-    lease.lease = std::chrono::milliseconds(absl::GetFlag(FLAGS_lease_ms));
-    overrides = adapter.MakeOverrides(lease);
+    overrides = adapter.MakeOverrides(LeaseSettingsFromFlags());
   }
   agent_process agent(AgentSettingsFromFlags(), time, overrides);
   agent.OnStopped([&application] { application.Finish(kExitOk); });
--- a/src/jayrill/cli/role_settings.cc
+++ b/src/jayrill/cli/role_settings.cc
@@ -16,8 +16,25 @@
   return std::chrono::milliseconds(absl::GetFlag(FLAGS_repeat_after_ms) / 2);
 }
 
+/// \returns how far the lease of a run may reach beyond the time at which its
+/// entry is last known to have waited for it: four fifths of the time after
+/// which callers repeat a job. The last fifth is for a slow clock of the
+/// minion, the end of the run, and an entry that learns late that its caller
+/// has left.
+std::chrono::milliseconds UnawaitedLimit() {
+  return std::chrono::milliseconds(absl::GetFlag(FLAGS_repeat_after_ms) * 4 /
+                                   5);
+}
+
 }  // namespace
 
+lease_settings LeaseSettingsFromFlags() {
+  lease_settings settings;
+  settings.lease = std::chrono::milliseconds(absl::GetFlag(FLAGS_lease_ms));
+  settings.unawaited_limit = UnawaitedLimit();
+  return settings;
+}
+
 entry_settings EntrySettingsFromFlags() {
   entry_settings settings;
   settings.id = absl::GetFlag(FLAGS_id);
--- a/tests/unit/late_start_test.cc
+++ b/tests/unit/late_start_test.cc
@@ -74,6 +74,23 @@
   EXPECT_EQ(rig.host.calls.front().order.number, start_number{2});
 }
 
+// Guards against a lease that is renewed on the word of an entry that has given
+// the run up: only the answer to a report comes after all its cancellations.
+TEST(run_guard_test, OnlyAnswersToReportsShowThatTheEntryWaits) {
+  core_rig rig(SettingsWithSilence(kSilenceTimeout));
+  const steady_time placed = rig.time.Now();
+  rig.core.AdmitBatch(kEntry, {{5}, rig.epoch, {Order(1)}, placed});
+  ASSERT_EQ(rig.host.calls.size(), 1U);
+  const run_guard_ptr guard = rig.host.calls.front().guard;
+  EXPECT_EQ(guard->awaited_at(), placed);
+  rig.time.Advance(milliseconds(100));
+  rig.core.OnAlive(kEntry, rig.time.Now());
+  rig.core.AdmitBatch(kEntry, {{5}, rig.epoch, {Order(2)}, rig.time.Now()});
+  EXPECT_EQ(guard->awaited_at(), placed);
+  rig.core.OnReportAnswered(kEntry, rig.time.Now());
+  EXPECT_EQ(guard->awaited_at(), rig.time.Now());
+}
+
 struct silence_case {
   const char* name;
   /// Shows in \p rig that the entry was alive at \p when.
--- /dev/null
+++ b/tests/unit/lease_bound_test.cc
@@ -0,0 +1,145 @@
+#include <gtest/gtest.h>
+
+#include <array>
+#include <memory>
+#include <ostream>
+#include <string>
+
+#include "jayrill/agent/leased_minion.h"
+#include "minion_standin.h"
+
+namespace jayrill {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Callers submit a job again this long after their connection broke.
+constexpr milliseconds kRepeatAfter{1300};
+
+lease_settings Settings() {
+  lease_settings settings;
+  settings.unawaited_limit = kRepeatAfter * 4 / 5;
+  settings.stall_limit = std::chrono::minutes(1);
+  return settings;
+}
+
+/// Two agents with one simulated minion each, whose runs go on until they are
+/// stopped or their lease expires.
+class lease_rig {
+ public:
+  lease_rig() {
+    for (std::size_t i = 0; i < minions.size(); ++i) {
+      minions[i] = std::make_unique<minion_standin>(
+          time, timers, random_source(i), monitor, minion_faults{.hangs = 100});
+      agents[i] = std::make_unique<leased_minion>(
+          Settings(), time, timers, *minions[i],
+          minion_port::listener{[this](std::uint64_t call, task_result result) {
+                                  results[call] = std::move(result);
+                                },
+                                [](std::uint64_t) {}});
+      agents[i]->OnAnnounced(minions[i]->Announcement());
+    }
+    timers.RunFor(milliseconds(50));
+  }
+
+  /// Starts \p task, for which an entry waits at present.
+  /// \returns the guard of the run.
+  run_guard_ptr Start(std::size_t agent, std::uint32_t task) {
+    task_call call;
+    call.id = ++last_call;
+    call.order.job_name = "5c0e7a21d94b36f8";
+    call.order.task_index = task;
+    call.order.payload = std::to_string(call.id);
+    call.released = time.Now();
+    call.deadline = time.Now() + std::chrono::minutes(5);
+    call.guard = run_guard_ptr(new run_guard(time.Now()));
+    agents[agent]->Run(call);
+    return call.guard;
+  }
+
+  manual_clock time;
+  manual_scheduler timers{time};
+  run_monitor monitor;
+  std::array<std::unique_ptr<minion_standin>, 2> minions;
+  std::array<std::unique_ptr<leased_minion>, 2> agents;
+  std::map<std::uint64_t, task_result> results;
+  std::uint64_t last_call = 0;
+};
+
+struct two_failures_case {
+  const char* name;
+  /// From the last sign of the entry to the end of the agent.
+  milliseconds agent_killed_after;
+  /// Another entry starts tasks on the minion meanwhile and is alive.
+  bool has_other_entry = false;
+};
+
+void PrintTo(const two_failures_case& param, std::ostream* out) {
+  *out << param.name;
+}
+
+class two_failures_test : public testing::TestWithParam<two_failures_case> {};
+
+// Guards against a run that works on after its entry and then its agent have
+// failed: the lease was renewed for its whole length while the entry was
+// silent. The caller has submitted the job again by then.
+TEST_P(two_failures_test, TheRunEndsBeforeTheJobIsSubmittedAgain) {
+  lease_rig rig;
+  rig.timers.RunFor(milliseconds(2000));
+  rig.Start(0, 1);
+  const steady_time entry_killed_at = rig.time.Now();
+  const steady_time agent_killed_at =
+      entry_killed_at + GetParam().agent_killed_after;
+  while (rig.time.Now() < agent_killed_at) {
+    rig.timers.RunFor(milliseconds(50));
+    if (GetParam().has_other_entry) {
+      rig.Start(0, static_cast<std::uint32_t>(rig.last_call) + 1);
+    }
+  }
+  rig.agents[0].reset();
+  rig.timers.RunFor(std::chrono::duration_cast<milliseconds>(
+      entry_killed_at + kRepeatAfter - rig.time.Now()));
+  rig.Start(1, 1);
+  rig.timers.RunFor(milliseconds(500));
+  EXPECT_EQ(rig.monitor.overlaps(), 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Cases,
+    two_failures_test,
+    testing::Values(two_failures_case{"at_once", milliseconds(0)},
+                    two_failures_case{"early", milliseconds(300)},
+                    two_failures_case{"before_the_silence_is_noticed",
+                                      milliseconds(650)},
+                    two_failures_case{"late", milliseconds(1000)},
+                    two_failures_case{"beside_runs_of_another_entry",
+                                      milliseconds(650), true}),
+    [](const auto& tested) { return tested.param.name; });
+
+// Guards against runs that lose their lease although their entry goes on
+// waiting for them.
+TEST(lease_bound_test, ARunLastsWhileItsEntryWaits) {
+  lease_rig rig;
+  const run_guard_ptr guard = rig.Start(0, 1);
+  for (int i = 0; i < 20; ++i) {
+    rig.timers.RunFor(milliseconds(250));
+    guard->Extend(rig.time.Now());
+  }
+  EXPECT_TRUE(rig.results.empty());
+}
+
+// Guards against a start with a lease that has almost ended: it would begin and
+// lapse. It must be refused as not run, so that it is placed elsewhere.
+TEST(lease_bound_test, NoRunStartsWhileASilentEntryHoldsTheLeaseBack) {
+  lease_rig rig;
+  rig.Start(0, 1);
+  rig.timers.RunFor(milliseconds(900));
+  rig.Start(0, 2);
+  rig.timers.RunFor(milliseconds(10));
+  ASSERT_TRUE(rig.results.contains(2));
+  EXPECT_EQ(rig.results[2].outcome, task_outcome::kNotRun);
+  EXPECT_FALSE(rig.monitor.HasBegun("2"));
+}
+
+}  // namespace
+}  // namespace jayrill
