Keep a byte order mark at the beginning of a caller's text

Cause: Qt drops a mark at the beginning of UTF-8 text, in QString::fromStdString (the order) and in QJsonValue::toString (the request, when the mark is not escaped).

Ruled out: QStringDecoder with ConvertInitialBom, which drops it as well in Qt 6.4.

Now one header decodes and sends text of callers; marks are sent as escape sequences, so that a receiver that uses Qt keeps them.

--- a/src/jayrill/entry/operator_change.cc
+++ b/src/jayrill/entry/operator_change.cc
@@ -7,6 +7,7 @@
 #include <optional>
 #include <utility>
 
+#include "jayrill/base/utf8_text.h"
 #include "jayrill/config/config_codec.h"
 #include "jayrill/store/json_object.h"
 
@@ -108,7 +109,7 @@
 
 result<QJsonObject> ParseBody(const QByteArray& body) {
   QJsonParseError failure;
-  const QJsonDocument document = QJsonDocument::fromJson(body, &failure);
+  const QJsonDocument document = ParseJson(body, &failure);
   if (!document.isObject()) {
     return Invalid(
         "the body is not a JSON object: " + failure.errorString().toStdString(),
@@ -199,7 +200,7 @@
 }
 
 QJsonObject RequestedValue(const http_request& request) {
-  QJsonObject value = QJsonDocument::fromJson(request.body).object();
+  QJsonObject value = ParseJson(request.body).object();
   value.remove("reason"_L1);
   value.remove("base_revision"_L1);
   return value;
--- a/src/jayrill/job/job_codec.cc
+++ b/src/jayrill/job/job_codec.cc
@@ -12,6 +12,7 @@
 #include <utility>
 
 #include "jayrill/base/name.h"
+#include "jayrill/base/utf8_text.h"
 
 namespace jayrill {
 namespace {
@@ -21,10 +22,6 @@
                    std::move(remedy));
 }
 
-QString ToQString(std::string_view name) {
-  return QString::fromLatin1(name.data(), static_cast<qsizetype>(name.size()));
-}
-
 /// Reads fields of one JSON object and keeps the first error. The prefix stands
 /// before field names in errors, for example `tasks[3].`.
 class field_reader {
@@ -172,7 +169,7 @@
   QJsonParseError parse_error;
   // Qt's parser rejects more than 1,024 levels of nesting, so a body cannot
   // exhaust the stack.
-  const QJsonDocument document = QJsonDocument::fromJson(
+  const QJsonDocument document = ParseJson(
       QByteArray::fromRawData(body.data(), static_cast<qsizetype>(body.size())),
       &parse_error);
   if (parse_error.error != QJsonParseError::NoError) {
@@ -209,8 +206,7 @@
 }
 
 std::string QuoteJson(std::string_view text) {
-  return CompactJson(QJsonValue(
-      QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()))));
+  return CompactJson(QJsonValue(ToQString(text)));
 }
 
 std::string EncodeOutcome(std::string_view id, const job_outcome& outcome) {
--- a/src/jayrill/load/job_request.cc
+++ b/src/jayrill/load/job_request.cc
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <chrono>
 
+#include "jayrill/base/utf8_text.h"
+
 namespace jayrill {
 namespace {
 
@@ -22,7 +24,7 @@
   QJsonArray tasks;
   for (const planned_task& task : job.tasks) {
     QJsonObject item{
-        {QStringLiteral("kind"), QString::fromStdString(task.kind)},
+        {QStringLiteral("kind"), ToQString(task.kind)},
         {QStringLiteral("payload"),
          QJsonObject{{QStringLiteral("work_ms"), WholeMs(task.work)}}}};
     if (task.declared.count() > 0) {
@@ -31,16 +33,14 @@
     }
     tasks.append(item);
   }
-  QJsonObject body{
-      {QStringLiteral("service"), QString::fromStdString(job.service)},
-      {QStringLiteral("team"), QString::fromStdString(job.team)},
-      {QStringLiteral("idempotent"), job.idempotent},
-      {QStringLiteral("deadline_ms"),
-       static_cast<qint64>(job.deadline.count())},
-      {QStringLiteral("tasks"), tasks}};
+  QJsonObject body{{QStringLiteral("service"), ToQString(job.service)},
+                   {QStringLiteral("team"), ToQString(job.team)},
+                   {QStringLiteral("idempotent"), job.idempotent},
+                   {QStringLiteral("deadline_ms"),
+                    static_cast<qint64>(job.deadline.count())},
+                   {QStringLiteral("tasks"), tasks}};
   if (!request_key.empty()) {
-    body.insert(QStringLiteral("request_key"),
-                QString::fromStdString(request_key));
+    body.insert(QStringLiteral("request_key"), ToQString(request_key));
   }
   return QJsonDocument(body).toJson(QJsonDocument::Compact);
 }
--- a/src/jayrill/load/trace.cc
+++ b/src/jayrill/load/trace.cc
@@ -9,6 +9,7 @@
 #include <cmath>
 #include <utility>
 
+#include "jayrill/base/utf8_text.h"
 #include "jayrill/job/job_spec.h"
 
 namespace jayrill {
@@ -21,10 +22,6 @@
 constexpr double kMaxMilliseconds = 1e9;
 constexpr double kDefaultDeadlineMs = 30'000;
 
-QString ToQString(const std::string& text) {
-  return QString::fromStdString(text);
-}
-
 double ToMs(microseconds time) {
   return static_cast<double>(time.count()) / kMicrosecondsPerMillisecond;
 }
--- a/src/jayrill/store/json_object.cc
+++ b/src/jayrill/store/json_object.cc
@@ -6,6 +6,8 @@
 #include <cmath>
 #include <utility>
 
+#include "jayrill/base/utf8_text.h"
+
 namespace jayrill {
 
 namespace {
@@ -13,10 +15,6 @@
 // 2^53: JSON numbers are doubles, which hold whole numbers exactly up to this.
 constexpr double kMaxExactInteger = 9007199254740992.0;
 
-QString ToKey(std::string_view name) {
-  return QString::fromUtf8(name.data(), static_cast<qsizetype>(name.size()));
-}
-
 }  // namespace
 
 json_object::json_object(QJsonObject object,
@@ -29,7 +27,7 @@
 json_object json_object::Parse(std::string_view json) {
   auto failure = std::make_shared<std::string>();
   QJsonParseError parsed;
-  const QJsonDocument document = QJsonDocument::fromJson(
+  const QJsonDocument document = ParseJson(
       QByteArray(json.data(), static_cast<qsizetype>(json.size())), &parsed);
   if (parsed.error != QJsonParseError::NoError) {
     *failure = "malformed JSON at byte " + std::to_string(parsed.offset);
@@ -40,11 +38,11 @@
 }
 
 QJsonValue json_object::Value(std::string_view name) const {
-  return object_.value(ToKey(name));
+  return object_.value(ToQString(name));
 }
 
 bool json_object::Has(std::string_view name) const {
-  return object_.contains(ToKey(name));
+  return object_.contains(ToQString(name));
 }
 
 std::string json_object::Text(std::string_view name) const {
@@ -175,7 +173,7 @@
 }
 
 QString ToJsonText(std::string_view text) {
-  return QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()));
+  return ToQString(text);
 }
 
 QString ToJsonHex(std::uint64_t value) {
--- a/tests/platform/minion_calls_test.cc
+++ b/tests/platform/minion_calls_test.cc
@@ -2,13 +2,9 @@
 
 #include <gtest/gtest.h>
 
-#include <QHostAddress>
-#include <QTcpServer>
-#include <QTcpSocket>
-#include <optional>
 #include <string>
 
-#include "qt_wait.h"
+#include "order_server.h"
 
 namespace jayrill::platform {
 namespace {
@@ -20,51 +16,13 @@
   order_answer answer;
 };
 
-class order_answer_test : public testing::TestWithParam<status_case> {
- protected:
-  order_answer_test() {
-    WaitFor([] { return true; });  // Creates the QCoreApplication.
-    server_.listen(QHostAddress::LocalHost);
-    QObject::connect(&server_, &QTcpServer::newConnection, &server_, [this] {
-      QTcpSocket* const connection = server_.nextPendingConnection();
-      QObject::connect(connection, &QTcpSocket::readyRead, connection,
-                       [this, connection] { Answer(*connection); });
-    });
-  }
-
-  std::uint16_t port() const { return server_.serverPort(); }
-
- private:
-  void Answer(QTcpSocket& connection) {
-    received_ += connection.readAll();
-    // The body of the order has no inner objects, so a brace ends it.
-    if (!received_.endsWith('}')) {
-      return;
-    }
-    received_.clear();
-    const std::string& body = GetParam().body;
-    connection.write(QByteArray::fromStdString(
-        "HTTP/1.1 " + GetParam().status + "\r\nContent-Length: " +
-        std::to_string(body.size()) + "\r\n\r\n" + body));
-  }
-
-  QTcpServer server_;
-  QByteArray received_;
-};
+class order_answer_test : public testing::TestWithParam<status_case> {};
 
 // Guards against a start that counts as refused after a status that does not
 // say whether the minion has carried the order out.
 TEST_P(order_answer_test, OnlyNamedRefusalsProveThatNothingWasDone) {
-  minion_calls calls;
-  announcement minion;
-  minion.host = "127.0.0.1";
-  minion.port = port();
-  calls.SetMinion(minion);
-  std::optional<order_answer> answer;
-  calls.Start({{"5c0e7a21d94b36f8", 0, 1}, "spec", 7, minion_time(1000)},
-              [&](order_answer result) { answer = result; });
-  ASSERT_TRUE(WaitFor([&] { return answer.has_value(); }));
-  EXPECT_EQ(*answer, GetParam().answer);
+  const order_server server(GetParam().status, GetParam().body);
+  EXPECT_EQ(SendOrder(server, "spec"), GetParam().answer);
 }
 
 INSTANTIATE_TEST_SUITE_P(
--- a/tests/platform/platform_format_test.cc
+++ b/tests/platform/platform_format_test.cc
@@ -4,30 +4,11 @@
 #include <string>
 
 #include "platform/platform.h"
+#include "queue_request.h"
 
 namespace jayrill::platform {
 namespace {
 
-constexpr char kConfig[] =
-    R"({"version":7,"routes":[)"
-    R"({"name":"r-a","host":"h.example","prefix":"/p/","service":"s1",)"
-    R"("priority":1,"max_attempts":2,"slack_factor":1.6,"target_latency_ms":60},)"
-    R"({"name":"r-b","host":"h.example","prefix":"/p/long/","service":"s2"}],)"
-    R"("services":[],"limits":{}})";
-
-cluster_config TestConfig() {
-  return *config_format().Translate({{"op/config", kConfig}});
-}
-
-http_request Request(const std::string& path, const std::string& body) {
-  http_request request;
-  request.method = "Post";
-  request.path = path;
-  request.headers = {{"host", "h.example"}, {"x-deadline-ms", "1800"}};
-  request.body = QByteArray::fromStdString(body);
-  return request;
-}
-
 // Guards against a route, a limit or an evacuation that is not translated.
 TEST(config_format_test, ReadsRoutesProfilesAndEvacuations) {
   const auto config = config_format().Translate({{"op/config", kConfig},
