Count the deadline of a job from the arrival of its request

What callers saw: a task that ran twice at the same time.

Cause: a request counted as new when it was read, and the end of its connection, which lies behind it in the same socket, is told by the event loop only later.

Ruled out: the jobs that the entry had before the pause; OnPause fails them.

Tried: the age of the newest bytes by the kernel (TCP_INFO).

--- a/src/jayrill/entry/entry_process.cc
+++ b/src/jayrill/entry/entry_process.cc
@@ -113,6 +113,9 @@
   QObject::connect(&tick_timer_, &QTimer::timeout, &tick_timer_,
                    [this] { Tick(); });
   tick_timer_.start(kTickInterval);
+  QObject::connect(&loop_timer_, &QTimer::timeout, &loop_timer_,
+                   [this] { jobs_->Tick(); });
+  loop_timer_.start(loop_delay::kTickInterval);
   Tick();
   LOG(INFO) << "entry: started id=" << settings_.id
             << " incarnation=" << ToString(incarnation_)
--- a/src/jayrill/entry/guarded_socket.cc
+++ b/src/jayrill/entry/guarded_socket.cc
@@ -63,6 +63,13 @@
       this, [this] { OnWritten(); }, Qt::QueuedConnection);
 }
 
+bool guarded_socket::HasCallerLeft() const {
+  char next = 0;
+  return inner_.bytesAvailable() == 0 &&
+         ::recv(static_cast<int>(inner_.socketDescriptor()), &next, 1,
+                MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 bool guarded_socket::ClosesAfterReply() const {
   return close_after_reply_ || shared_.stopping;
 }
--- a/src/jayrill/entry/guarded_socket.h
+++ b/src/jayrill/entry/guarded_socket.h
@@ -58,6 +58,10 @@
   /// after the reply.
   void Stop();
 
+  /// \returns true when the caller has closed its side and everything that it
+  /// has sent was read. The event loop tells it only after the request.
+  bool HasCallerLeft() const;
+
   /// \returns true when the connection is closed after the current reply.
   bool ClosesAfterReply() const;
 
--- a/src/jayrill/entry/http_exchange.h
+++ b/src/jayrill/entry/http_exchange.h
@@ -18,6 +18,9 @@
   std::string path;                            ///< Decoded, without the query.
   std::map<std::string, std::string> headers;  ///< Names in lower case.
   QByteArray body;
+  /// The caller had closed its side of the connection before a handler got the
+  /// request.
+  bool has_caller_left = false;
 
   /// \returns the value of the header \p name (in lower case); empty if there
   /// is none.
--- a/src/jayrill/entry/http_server.cc
+++ b/src/jayrill/entry/http_server.cc
@@ -9,8 +9,10 @@
 namespace jayrill {
 namespace {
 
-http_request CopyRequest(const QHttpServerRequest& request) {
+http_request CopyRequest(const QHttpServerRequest& request,
+                         const guarded_socket& socket) {
   http_request copy;
+  copy.has_caller_left = socket.HasCallerLeft();
   copy.method = QMetaEnum::fromType<QHttpServerRequest::Method>().valueToKey(
       static_cast<int>(request.method()));
   copy.path = request.url().path().toStdString();
@@ -122,7 +124,7 @@
   // Before the socket is deleted, it marks the exchange as disconnected, so the
   // writer never uses a deleted socket.
   const exchange_ptr exchange(new http_exchange(
-      CopyRequest(request),
+      CopyRequest(request, *socket),
       [shared_responder, socket](const http_response& response) {
         WriteResponse(*shared_responder, response, socket->ClosesAfterReply());
         socket->EndExchange();
--- a/src/jayrill/entry/job_api.cc
+++ b/src/jayrill/entry/job_api.cc
@@ -43,6 +43,7 @@
 
 job_api::job_api(job_api_dependencies dependencies)
     : dependencies_(std::move(dependencies)),
+      loop_delay_(dependencies_.time),
       answers_(kMaxCachedAnswers, kMaxCachedAnswerBytes),
       alive_(std::make_shared<char>()) {}
 
@@ -87,6 +88,16 @@
 }
 
 void job_api::StartUnlessDraining(const exchange_ptr& exchange, job_spec spec) {
+  if (exchange->request().has_caller_left) {
+    // Its tasks would start and then be cancelled, while the caller may have
+    // submitted the job to another entry.
+    Refuse(exchange, spec,
+           MakeNotRunOutcome("caller_left",
+                             "the caller closed the connection before this "
+                             "entry read the job",
+                             "keep the connection open until the answer"));
+    return;
+  }
   if (draining_) {
     Refuse(exchange, spec,
            MakeNotRunOutcome(
@@ -143,7 +154,8 @@
   auto job = std::make_shared<active_job>();
   job->id = {dependencies_.entry, ++last_sequence_};
   job->spec = std::move(spec);
-  job->arrival_time = dependencies_.time.Now();
+  job->waited = loop_delay_.MaxInputAge();
+  job->arrival_time = dependencies_.time.Now() - job->waited;
   job->request_id = exchange->request().Header(kRequestIdHeader);
   job->tasks = job->spec.tasks.size();
   jobs_.emplace(job->id, job);
@@ -272,7 +284,8 @@
   active_job refused;
   refused.spec = spec;
   refused.tasks = spec.tasks.size();
-  refused.arrival_time = dependencies_.time.Now();
+  refused.waited = loop_delay_.MaxInputAge();
+  refused.arrival_time = dependencies_.time.Now() - refused.waited;
   refused.request_id = exchange->request().Header(kRequestIdHeader);
   LogDecision(refused, outcome);
   Answer(exchange, "", outcome);
@@ -290,7 +303,7 @@
        << " request=" << job.request_id << " name=" << job.spec.name
        << " id=" << ToString(job.id) << " service=" << job.spec.service
        << " profile=" << job.spec.profile << " tasks=" << job.tasks
-       << " after_ms=" << elapsed.count()
+       << " after_ms=" << elapsed.count() << " waited_ms=" << job.waited.count()
        << " deadline_ms=" << job.spec.deadline.count()
        << " callers=" << job.callers.size()
        << " config=" << (config ? config->revision.value : 0);
--- a/src/jayrill/entry/job_api.h
+++ b/src/jayrill/entry/job_api.h
@@ -16,6 +16,7 @@
 #include "jayrill/entry/dispatch_port.h"
 #include "jayrill/entry/http_exchange.h"
 #include "jayrill/entry/job_format.h"
+#include "jayrill/entry/loop_delay.h"
 #include "jayrill/job/job_spec.h"
 #include "jayrill/metrics.h"
 
@@ -46,6 +47,10 @@
   /// is cached, else when the job has an outcome.
   void HandleSubmission(const exchange_ptr& exchange);
 
+  /// Must be called every loop_delay::kTickInterval by a timer of the main
+  /// thread.
+  void Tick() { loop_delay_.Tick(); }
+
   /// Refuses new jobs as not run from now on. Resubmissions of jobs that run or
   /// have run on this entry are still answered.
   void BeginDrain() { draining_ = true; }
@@ -59,6 +64,8 @@
     job_spec spec;
     std::uint64_t content_hash = 0;
     steady_time arrival_time;
+    /// How long the request had waited unread, at most.
+    std::chrono::milliseconds waited{};
     wall_time key_time;  ///< The time that the request key begins with.
     /// Requests that wait for the outcome: the first submission and its
     /// resubmissions.
@@ -97,6 +104,7 @@
               const job_outcome& outcome);
 
   job_api_dependencies dependencies_;
+  loop_delay loop_delay_;
   bool draining_ = false;
   std::uint64_t last_sequence_ = 0;
   std::unordered_map<job_id, job_ptr> jobs_;
