Refuse a spec that has no UTF-8 form

What callers saw: a spec with a lone surrogate, which JSON can name as an escape, reached the minion with "?" in its place.

Cause: QString::toStdString replaces what it cannot encode.

--- a/src/jayrill/base/utf8_text.h
+++ b/src/jayrill/base/utf8_text.h
@@ -5,6 +5,8 @@
 #include <QtCore/QJsonDocument>
 #include <QtCore/QJsonParseError>
 #include <QtCore/QString>
+#include <optional>
+#include <string>
 #include <string_view>
 
 namespace jayrill {
@@ -25,6 +27,15 @@
   return QString::fromUtf8(bytes);
 }
 
+/// \returns \p text in UTF-8, or nothing when it has no UTF-8 form: a lone
+/// surrogate, in whose place QString::toStdString would put "?".
+inline std::optional<std::string> ToUtf8(const QString& text) {
+  if (!text.isValidUtf16()) {
+    return std::nullopt;
+  }
+  return text.toStdString();
+}
+
 /// \returns \p json with the byte order marks at the beginning of its strings
 /// as escape sequences, which Qt and other receivers keep. Does not change what
 /// the JSON means: only a quotation mark can stand before such a mark, and
--- a/tests/platform/platform_format_test.cc
+++ b/tests/platform/platform_format_test.cc
@@ -173,6 +173,10 @@
                     bad_job{"bad_id", "/p/5c0e7a21d94b36g8",
                             JobWithPhase(R"("count":1)"), 400},
                     bad_job{"not_json", "/p/5c0e7a21d94b36f8", "\xff{", 400},
+                    bad_job{"lone_surrogate", "/p/5c0e7a21d94b36f8",
+                            R"({"spec":"a\ud800b","phases":[{"count":1}],)"
+                            R"("best_effort":true})",
+                            400},
                     bad_job{"no_tasks", "/p/5c0e7a21d94b36f8",
                             JobWithPhase(R"("count":0)"), 400},
                     bad_job{"too_many_tasks", "/p/5c0e7a21d94b36f8",
