Test that no two disruptions let a task run twice

Real agents (agent_core, leased_minion) with simulated minions in virtual time, and entries and callers as docs/platform.md describes them. Two of a killed or frozen entry, a killed or frozen agent, a cut link and late orders begin within 1.5 s.

--- /dev/null
+++ b/tests/unit/two_disruptions_test.cc
@@ -0,0 +1,443 @@
+#include <gtest/gtest.h>
+
+#include <array>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "agent_core_rig.h"
+#include "jayrill/agent/leased_minion.h"
+#include "minion_standin.h"
+
+namespace jayrill {
+namespace {
+
+constexpr milliseconds kRepeatAfter{1300};
+constexpr milliseconds kSilence = kRepeatAfter / 2;
+constexpr milliseconds kCallerDeadline{1500};
+constexpr std::size_t kCount = 2;  ///< Of the entries, and of the agents.
+
+/// A process: its work waits while it is frozen, and is lost when it is killed.
+class process {
+ public:
+  void Do(std::function<void()> work) {
+    if (frozen_) {
+      held_.push_back(std::move(work));
+    } else {
+      work();
+    }
+  }
+  /// Runs \p work if the process has not been killed since \p life.
+  void DoIn(int life, std::function<void()> work) {
+    Do([this, life, work = std::move(work)] {
+      if (life == life_) {
+        work();
+      }
+    });
+  }
+  /// Wraps \p work so that it runs in the present life only.
+  std::function<void()> Wrap(std::function<void()> work) {
+    return [this, life = life_, work = std::move(work)] { DoIn(life, work); };
+  }
+  int life() const { return life_; }
+  void Freeze() { frozen_ = true; }
+  void Thaw() {
+    frozen_ = false;
+    for (const auto& work : std::exchange(held_, {})) {
+      Do(work);
+    }
+  }
+  void Kill() {
+    ++life_;
+    Thaw();
+  }
+
+ private:
+  bool frozen_ = false;
+  int life_ = 0;
+  std::vector<std::function<void()>> held_;
+};
+
+/// The timers of an agent and its calls to its minion, which stand still while
+/// the agent is frozen.
+class agent_io final : public scheduler, public run_control {
+ public:
+  agent_io(process& owner, manual_scheduler& timers, minion_standin& minion)
+      : owner_(owner), timers_(timers), minion_(minion) {}
+
+  void After(milliseconds delay, std::function<void()> work) override {
+    timers_.After(delay, owner_.Wrap(std::move(work)));
+  }
+  void SetMinion(const announcement& minion) override {
+    minion_.SetMinion(minion);
+  }
+  void Start(const run_order& order,
+             std::function<void(order_answer)> done) override {
+    minion_.Start(order, Later(std::move(done)));
+  }
+  void Stop(const run_name& run,
+            std::uint64_t token,
+            std::function<void(order_answer)> done) override {
+    minion_.Stop(run, token, Later(std::move(done)));
+  }
+  void Renew(const renewal& request,
+             std::function<void(result<run_report>)> done) override {
+    minion_.Renew(request, Later(std::move(done)));
+  }
+
+ private:
+  template <typename Answer>
+  std::function<void(Answer)> Later(std::function<void(Answer)> done) {
+    return [owner = &owner_, life = owner_.life(),
+            done = std::move(done)](Answer answer) {
+      owner->DoIn(life, [done, answer] { done(answer); });
+    };
+  }
+
+  process& owner_;
+  manual_scheduler& timers_;
+  minion_standin& minion_;
+};
+
+/// An agent with the real core and the real leased_minion.
+class agent final : public agent_core::host {
+ public:
+  agent(manual_clock& time,
+        manual_scheduler& timers,
+        process& owner,
+        minion_standin& minion)
+      : io_(owner, timers, minion),
+        core(Settings(), time, *this),
+        runs_(Lease(),
+              time,
+              io_,
+              io_,
+              {[this](std::uint64_t call, task_result outcome) {
+                 core.OnResult(call, std::move(outcome));
+               },
+               [this](std::uint64_t call) { core.OnSlotFree(call); }}) {
+    core.OfferConfig(Config(5));
+    announcement announced = minion.Announcement();
+    core.Announce(announced);
+    runs_.OnAnnounced(announced);
+  }
+
+  void Call(task_call call) override { runs_.Run(call); }
+  void StopCall(std::uint64_t call) override { runs_.Stop(call); }
+  void ResultReady(incarnation) override {}
+  void StatusChanged() override {}
+  void PauseDetected() override {}
+
+ private:
+  static agent_settings Settings() {
+    agent_settings settings = jayrill::Settings();
+    settings.silence_timeout = kSilence;
+    settings.announce_ttl = std::chrono::hours(1);
+    settings.queue_limit = 100;
+    return settings;
+  }
+  static lease_settings Lease() {
+    lease_settings settings;
+    settings.unawaited_limit = kRepeatAfter * 4 / 5;
+    settings.stall_limit = std::chrono::hours(1);
+    return settings;
+  }
+
+  agent_io io_;
+
+ public:
+  agent_core core;
+
+ private:
+  leased_minion runs_;
+};
+
+/// Entries as docs/platform.md describes them, callers that send their jobs
+/// again, and real agents, in virtual time.
+class deployment {
+ public:
+  explicit deployment(std::uint64_t seed) : random_(seed) {
+    for (std::size_t i = 0; i < kCount; ++i) {
+      minions_[i] = std::make_unique<minion_standin>(
+          time_, timers_, random_source(seed + i), monitor_,
+          minion_faults{.hangs = 70});
+      StartAgent(i);
+    }
+    timers_.RunFor(milliseconds(300));
+  }
+
+  /// Two disruptions that begin within 1.5 s, while jobs are at work.
+  void Play() {
+    for (std::uint32_t job = 0; job < 6; ++job) {
+      timers_.After(milliseconds(random_.Below(1200)),
+                    [this, job] { Submit(job, random_.Below(kCount)); });
+    }
+    for (int i = 0; i < 2; ++i) {
+      timers_.After(milliseconds(random_.Below(1500)), [this] { Disrupt(); });
+    }
+    timers_.RunFor(milliseconds(9000));
+  }
+
+  int overlaps() const { return monitor_.overlaps(); }
+
+ private:
+  struct submission {
+    std::uint32_t job = 0;
+    std::size_t agent = 0;
+    start_number number;
+    bool over = false;  ///< The caller has an answer or has left.
+  };
+  struct entry {
+    process self;
+    bool alive = true;
+    std::uint64_t life = 1;
+    std::map<int, submission> submissions;
+  };
+  /// The connection of an entry with an agent.
+  struct link {
+    connection_epoch epoch;
+    std::uint64_t starts = 0;
+    steady_time agent_time;   ///< Sending of the newest report.
+    steady_time received_at;  ///< Its arrival at the entry.
+    steady_time cut_until;
+    std::array<steady_time, 2> last_arrival;  ///< To the agent, to the entry.
+  };
+
+  incarnation IdOf(std::size_t e) const {
+    return incarnation{10 * entries_[e].life + e};
+  }
+
+  void StartAgent(std::size_t a) {
+    agents_[a] =
+        std::make_unique<agent>(time_, timers_, hosts_[a], *minions_[a]);
+    for (std::size_t e = 0; e < kCount; ++e) {
+      Connect(e, a);
+    }
+    TickAgent(a);
+  }
+
+  void Connect(std::size_t e, std::size_t a) {
+    link& connection = links_[e][a];
+    connection.epoch = agents_[a]->core.Connect(IdOf(e)).epoch;
+    agents_[a]->core.Welcome(IdOf(e), false);
+    connection.starts = 0;
+    connection.agent_time = connection.received_at = time_.Now();
+  }
+
+  /// Delivers \p message after those before it, and after the link has healed.
+  void Send(std::size_t e,
+            std::size_t a,
+            bool to_entry,
+            process& receiver,
+            std::function<void()> message) {
+    link& connection = links_[e][a];
+    steady_time& last = connection.last_arrival[to_entry ? 1 : 0];
+    last = std::max({last, connection.cut_until,
+                     time_.Now() + milliseconds(1 + random_.Below(4))});
+    timers_.After(std::chrono::ceil<milliseconds>(last - time_.Now()),
+                  receiver.Wrap(std::move(message)));
+  }
+
+  void TickAgent(std::size_t a) {
+    timers_.After(kPauseTick, hosts_[a].Wrap([this, a] {
+      agents_[a]->core.Tick();
+      for (std::size_t e = 0; e < kCount; ++e) {
+        Report(e, a);
+      }
+      TickAgent(a);
+    }));
+  }
+
+  void Report(std::size_t e, std::size_t a) {
+    if (!entries_[e].alive) {
+      return;
+    }
+    std::vector<task_result> results;
+    for (const task_result* item :
+         agents_[a]->core.Session(IdOf(e)).TakeUnsent(1U << 30U)) {
+      results.push_back(*item);
+    }
+    Send(e, a, true, entries_[e].self,
+         [this, e, a, results, sent = time_.Now(), id = IdOf(e)] {
+           links_[e][a].agent_time = sent;
+           links_[e][a].received_at = time_.Now();
+           for (const task_result& item : results) {
+             OnResult(e, a, item);
+           }
+           Send(e, a, false, hosts_[a], [this, a, sent, id] {
+             agents_[a]->core.OnReportAnswered(id, sent);
+           });
+         });
+  }
+
+  void OnResult(std::size_t e, std::size_t a, const task_result& item) {
+    for (auto& [number, known] : entries_[e].submissions) {
+      if (!known.over && known.agent == a && known.number == item.number) {
+        if (item.outcome == task_outcome::kSucceeded) {
+          known.over = true;
+        } else {
+          const bool not_run = item.outcome == task_outcome::kNotRun;
+          Resend(known, not_run ? milliseconds(20) : kRepeatAfter);
+        }
+        return;
+      }
+    }
+  }
+
+  void Submit(std::uint32_t job, std::size_t e) {
+    if (!entries_[e].alive) {
+      timers_.After(milliseconds(50),
+                    [this, job, e] { Submit(job, (e + 1) % kCount); });
+      return;
+    }
+    const int number = ++last_submission_;
+    entries_[e].submissions[number] = {job, random_.Below(kCount), {}, false};
+    entries_[e].self.Wrap([this, e, number] { Place(e, number); })();
+    // The entry gives the job up, or the caller closes the connection.
+    timers_.After(kCallerDeadline, [this, e, number] {
+      submission& known = entries_[e].submissions[number];
+      if (!known.over) {
+        Resend(known, kRepeatAfter);
+        entries_[e].self.Wrap([this, e, number] { Cancel(e, number); })();
+      }
+    });
+  }
+
+  void Place(std::size_t e, int number) {
+    submission& known = entries_[e].submissions[number];
+    if (known.over) {
+      return;  // The caller has left.
+    }
+    const std::size_t a = known.agent;
+    link& connection = links_[e][a];
+    known.number = start_number{++connection.starts};
+    start_batch batch{{5}, connection.epoch, {Order(known.number.value)}};
+    batch.starts[0].job_name = "5c0e7a21d94b36f8";
+    batch.starts[0].task_index = known.job;
+    batch.starts[0].payload = std::to_string(number);
+    batch.placed =
+        connection.agent_time + (time_.Now() - connection.received_at);
+    Send(e, a, false, hosts_[a], [this, a, batch, id = IdOf(e)] {
+      agents_[a]->core.AdmitBatch(id, batch);
+    });
+  }
+
+  void Cancel(std::size_t e, int number) {
+    const submission known = entries_[e].submissions[number];
+    Send(e, known.agent, false, hosts_[known.agent],
+         [this, known, id = IdOf(e)] {
+           agents_[known.agent]->core.Cancel(id, std::array{known.number});
+         });
+  }
+
+  /// The caller of \p known sends its job again after \p delay.
+  void Resend(submission& known, milliseconds delay) {
+    known.over = true;
+    timers_.After(
+        delay, [this, job = known.job] { Submit(job, random_.Below(kCount)); });
+  }
+
+  /// All connections of callers to the entry break, or those of jobs at work on
+  /// agent \p a only; the callers send their jobs again.
+  void Break(std::size_t e, std::optional<std::size_t> a = std::nullopt) {
+    for (auto& [number, known] : entries_[e].submissions) {
+      if (!known.over && (!a || known.agent == *a)) {
+        Resend(known, kRepeatAfter);
+      }
+    }
+  }
+
+  void Disrupt() {
+    const std::size_t i = random_.Below(kCount);
+    const milliseconds length(300 + random_.Below(3700));
+    switch (random_.Below(6)) {
+      case 0:
+        KillEntry(i, length);
+        break;
+      case 1:
+        entries_[i].self.Freeze();
+        timers_.After(length, [this, i] { ThawEntry(i); });
+        break;
+      case 2:
+        KillAgent(i);
+        break;
+      case 3:
+        hosts_[i].Freeze();
+        timers_.After(length, [this, i] { hosts_[i].Thaw(); });
+        break;
+      case 4:
+        for (link& connection : links_[random_.Below(kCount)]) {
+          connection.cut_until = time_.Now() + length;
+        }
+        break;
+      default:
+        minions_[i]->SetFaults(
+            {.late_orders = 30 + random_.Below(71), .hangs = 70});
+        timers_.After(length,
+                      [this, i] { minions_[i]->SetFaults({.hangs = 70}); });
+    }
+  }
+
+  void KillEntry(std::size_t e, milliseconds length) {
+    entries_[e].self.Kill();
+    entries_[e].alive = false;
+    Break(e);
+    timers_.After(length, [this, e] {
+      ++entries_[e].life;
+      entries_[e].alive = true;
+      for (std::size_t a = 0; a < kCount; ++a) {
+        hosts_[a].Wrap([this, e, a] { Connect(e, a); })();
+      }
+    });
+  }
+
+  void ThawEntry(std::size_t e) {
+    // An entry that finds that it was paused gives all its jobs up first.
+    for (auto& [number, known] : entries_[e].submissions) {
+      if (!known.over) {
+        Resend(known, kRepeatAfter);
+        Cancel(e, number);
+      }
+    }
+    entries_[e].self.Thaw();
+  }
+
+  void KillAgent(std::size_t a) {
+    hosts_[a].Kill();
+    for (std::size_t e = 0; e < kCount; ++e) {
+      Break(e, a);
+    }
+    StartAgent(a);
+  }
+
+  random_source random_;
+  manual_clock time_;
+  manual_scheduler timers_{time_};
+  run_monitor monitor_;
+  std::array<std::unique_ptr<minion_standin>, kCount> minions_;
+  std::array<process, kCount> hosts_;  ///< Of the agents.
+  std::array<std::unique_ptr<agent>, kCount> agents_;
+  std::array<entry, kCount> entries_;
+  std::array<std::array<link, kCount>, kCount> links_;  ///< By entry, agent.
+  int last_submission_ = 0;
+};
+
+// Guards against bounds that hold for each disruption alone and add up to more
+// than the time after which callers send their jobs again: any two of a killed
+// or frozen entry, a killed or frozen agent, a link that is cut, and orders
+// that are carried out late.
+TEST(two_disruptions_test, NoTaskRunsTwiceAtTheSameTime) {
+  constexpr std::uint64_t kSeeds = 400;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    deployment site(seed);
+    site.Play();
+    EXPECT_EQ(site.overlaps(), 0) << "seed " << seed;
+  }
+}
+
+}  // namespace
+}  // namespace jayrill
