Model both threads of an entry in the test of two disruptions

Tried and left out: a confirmation that callers were looked at, carried in the answers to reports and in batches, so that a lease does not count from an answer of a thread that has not seen its callers leave.

--- a/tests/unit/two_disruptions_test.cc
+++ b/tests/unit/two_disruptions_test.cc
@@ -192,7 +192,9 @@
     bool over = false;  ///< The caller has an answer or has left.
   };
   struct entry {
-    process self;
+    process self;  ///< Its thread for agents.
+    process
+        callers;  ///< Its thread for callers, which is later after a freeze.
     bool alive = true;
     std::uint64_t life = 1;
     std::map<int, submission> submissions;
@@ -296,13 +298,13 @@
     }
     const int number = ++last_submission_;
     entries_[e].submissions[number] = {job, random_.Below(kCount), {}, false};
-    entries_[e].self.Wrap([this, e, number] { Place(e, number); })();
+    entries_[e].callers.Wrap([this, e, number] { Place(e, number); })();
     // The entry gives the job up, or the caller closes the connection.
     timers_.After(kCallerDeadline, [this, e, number] {
       submission& known = entries_[e].submissions[number];
       if (!known.over) {
         Resend(known, kRepeatAfter);
-        entries_[e].self.Wrap([this, e, number] { Cancel(e, number); })();
+        entries_[e].callers.Wrap([this, e, number] { Cancel(e, number); })();
       }
     });
   }
@@ -360,7 +362,8 @@
         break;
       case 1:
         entries_[i].self.Freeze();
-        timers_.After(length, [this, i] { ThawEntry(i); });
+        entries_[i].callers.Freeze();
+        timers_.After(length, [this, i, length] { ThawEntry(i, length); });
         break;
       case 2:
         KillAgent(i);
@@ -384,6 +387,7 @@
 
   void KillEntry(std::size_t e, milliseconds length) {
     entries_[e].self.Kill();
+    entries_[e].callers.Kill();
     entries_[e].alive = false;
     Break(e);
     timers_.After(length, [this, e] {
@@ -395,15 +399,17 @@
     });
   }
 
-  void ThawEntry(std::size_t e) {
+  void ThawEntry(std::size_t e, milliseconds length) {
     // An entry that finds that it was paused gives all its jobs up first.
     for (auto& [number, known] : entries_[e].submissions) {
-      if (!known.over) {
+      if (!known.over && length > kPauseLimit) {
         Resend(known, kRepeatAfter);
         Cancel(e, number);
       }
     }
     entries_[e].self.Thaw();
+    timers_.After(milliseconds(random_.Below(60)),
+                  [this, e] { entries_[e].callers.Thaw(); });
   }
 
   void KillAgent(std::size_t a) {
