--- a/tests/unit/two_disruptions_test.cc
+++ b/tests/unit/two_disruptions_test.cc
@@ -4,158 +4,19 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
-#include "agent_core_rig.h"
-#include "jayrill/agent/leased_minion.h"
-#include "minion_standin.h"
+#include "simulated_agent.h"
 
 namespace jayrill {
 namespace {
 
-constexpr milliseconds kRepeatAfter{1300};
-constexpr milliseconds kSilence = kRepeatAfter / 2;
 constexpr milliseconds kCallerDeadline{1500};
 constexpr std::size_t kCount = 2;  ///< Of the entries, and of the agents.
 
-/// A process: its work waits while it is frozen, and is lost when it is killed.
-class process {
- public:
-  void Do(std::function<void()> work) {
-    if (frozen_) {
-      held_.push_back(std::move(work));
-    } else {
-      work();
-    }
-  }
-  /// Runs \p work if the process has not been killed since \p life.
-  void DoIn(int life, std::function<void()> work) {
-    Do([this, life, work = std::move(work)] {
-      if (life == life_) {
-        work();
-      }
-    });
-  }
-  /// Wraps \p work so that it runs in the present life only.
-  std::function<void()> Wrap(std::function<void()> work) {
-    return [this, life = life_, work = std::move(work)] { DoIn(life, work); };
-  }
-  int life() const { return life_; }
-  void Freeze() { frozen_ = true; }
-  void Thaw() {
-    frozen_ = false;
-    for (const auto& work : std::exchange(held_, {})) {
-      Do(work);
-    }
-  }
-  void Kill() {
-    ++life_;
-    Thaw();
-  }
-
- private:
-  bool frozen_ = false;
-  int life_ = 0;
-  std::vector<std::function<void()>> held_;
-};
-
-/// The timers of an agent and its calls to its minion, which stand still while
-/// the agent is frozen.
-class agent_io final : public scheduler, public run_control {
- public:
-  agent_io(process& owner, manual_scheduler& timers, minion_standin& minion)
-      : owner_(owner), timers_(timers), minion_(minion) {}
-
-  void After(milliseconds delay, std::function<void()> work) override {
-    timers_.After(delay, owner_.Wrap(std::move(work)));
-  }
-  void SetMinion(const announcement& minion) override {
-    minion_.SetMinion(minion);
-  }
-  void Start(const run_order& order,
-             std::function<void(order_answer)> done) override {
-    minion_.Start(order, Later(std::move(done)));
-  }
-  void Stop(const run_name& run,
-            std::uint64_t token,
-            std::function<void(order_answer)> done) override {
-    minion_.Stop(run, token, Later(std::move(done)));
-  }
-  void Renew(const renewal& request,
-             std::function<void(result<run_report>)> done) override {
-    minion_.Renew(request, Later(std::move(done)));
-  }
-
- private:
-  template <typename Answer>
-  std::function<void(Answer)> Later(std::function<void(Answer)> done) {
-    return [owner = &owner_, life = owner_.life(),
-            done = std::move(done)](Answer answer) {
-      owner->DoIn(life, [done, answer] { done(answer); });
-    };
-  }
-
-  process& owner_;
-  manual_scheduler& timers_;
-  minion_standin& minion_;
-};
-
-/// An agent with the real core and the real leased_minion.
-class agent final : public agent_core::host {
- public:
-  agent(manual_clock& time,
-        manual_scheduler& timers,
-        process& owner,
-        minion_standin& minion)
-      : io_(owner, timers, minion),
-        core(Settings(), time, *this),
-        runs_(Lease(),
-              time,
-              io_,
-              io_,
-              {[this](std::uint64_t call, task_result outcome) {
-                 core.OnResult(call, std::move(outcome));
-               },
-               [this](std::uint64_t call) { core.OnSlotFree(call); }}) {
-    core.OfferConfig(Config(5));
-    announcement announced = minion.Announcement();
-    core.Announce(announced);
-    runs_.OnAnnounced(announced);
-  }
-
-  void Call(task_call call) override { runs_.Run(call); }
-  void StopCall(std::uint64_t call) override { runs_.Stop(call); }
-  void ResultReady(incarnation) override {}
-  void StatusChanged() override {}
-  void PauseDetected() override {}
-
- private:
-  static agent_settings Settings() {
-    agent_settings settings = jayrill::Settings();
-    settings.silence_timeout = kSilence;
-    settings.announce_ttl = std::chrono::hours(1);
-    settings.queue_limit = 100;
-    return settings;
-  }
-  static lease_settings Lease() {
-    lease_settings settings;
-    settings.unawaited_limit = kRepeatAfter * 4 / 5;
-    settings.stall_limit = std::chrono::hours(1);
-    return settings;
-  }
-
-  agent_io io_;
-
- public:
-  agent_core core;
-
- private:
-  leased_minion runs_;
-};
-
 /// Entries as docs/platform.md describes them, callers that send their jobs
 /// again, and real agents, in virtual time.
 class deployment {
@@ -192,9 +53,9 @@
     bool over = false;  ///< The caller has an answer or has left.
   };
   struct entry {
-    process self;  ///< Its thread for agents.
-    process
-        callers;  ///< Its thread for callers, which is later after a freeze.
+    simulated_process self;  ///< Its thread for agents.
+    /// Its thread for callers, which wakes later after a freeze.
+    simulated_process callers;
     bool alive = true;
     std::uint64_t life = 1;
     std::map<int, submission> submissions;
@@ -214,8 +75,8 @@
   }
 
   void StartAgent(std::size_t a) {
-    agents_[a] =
-        std::make_unique<agent>(time_, timers_, hosts_[a], *minions_[a]);
+    agents_[a] = std::make_unique<simulated_agent>(time_, timers_, hosts_[a],
+                                                   *minions_[a]);
     for (std::size_t e = 0; e < kCount; ++e) {
       Connect(e, a);
     }
@@ -224,8 +85,8 @@
 
   void Connect(std::size_t e, std::size_t a) {
     link& connection = links_[e][a];
-    connection.epoch = agents_[a]->core.Connect(IdOf(e)).epoch;
-    agents_[a]->core.Welcome(IdOf(e), false);
+    connection.epoch = agents_[a]->core().Connect(IdOf(e)).epoch;
+    agents_[a]->core().Welcome(IdOf(e), false);
     connection.starts = 0;
     connection.agent_time = connection.received_at = time_.Now();
   }
@@ -234,7 +95,7 @@
   void Send(std::size_t e,
             std::size_t a,
             bool to_entry,
-            process& receiver,
+            simulated_process& receiver,
             std::function<void()> message) {
     link& connection = links_[e][a];
     steady_time& last = connection.last_arrival[to_entry ? 1 : 0];
@@ -246,7 +107,7 @@
 
   void TickAgent(std::size_t a) {
     timers_.After(kPauseTick, hosts_[a].Wrap([this, a] {
-      agents_[a]->core.Tick();
+      agents_[a]->core().Tick();
       for (std::size_t e = 0; e < kCount; ++e) {
         Report(e, a);
       }
@@ -260,7 +121,7 @@
     }
     std::vector<task_result> results;
     for (const task_result* item :
-         agents_[a]->core.Session(IdOf(e)).TakeUnsent(1U << 30U)) {
+         agents_[a]->core().Session(IdOf(e)).TakeUnsent(1U << 30U)) {
       results.push_back(*item);
     }
     Send(e, a, true, entries_[e].self,
@@ -271,7 +132,7 @@
              OnResult(e, a, item);
            }
            Send(e, a, false, hosts_[a], [this, a, sent, id] {
-             agents_[a]->core.OnReportAnswered(id, sent);
+             agents_[a]->core().OnReportAnswered(id, sent);
            });
          });
   }
@@ -324,7 +185,7 @@
     batch.placed =
         connection.agent_time + (time_.Now() - connection.received_at);
     Send(e, a, false, hosts_[a], [this, a, batch, id = IdOf(e)] {
-      agents_[a]->core.AdmitBatch(id, batch);
+      agents_[a]->core().AdmitBatch(id, batch);
     });
   }
 
@@ -332,7 +193,7 @@
     const submission known = entries_[e].submissions[number];
     Send(e, known.agent, false, hosts_[known.agent],
          [this, known, id = IdOf(e)] {
-           agents_[known.agent]->core.Cancel(id, std::array{known.number});
+           agents_[known.agent]->core().Cancel(id, std::array{known.number});
          });
   }
 
@@ -425,8 +286,8 @@
   manual_scheduler timers_{time_};
   run_monitor monitor_;
   std::array<std::unique_ptr<minion_standin>, kCount> minions_;
-  std::array<process, kCount> hosts_;  ///< Of the agents.
-  std::array<std::unique_ptr<agent>, kCount> agents_;
+  std::array<simulated_process, kCount> hosts_;  ///< Of the agents.
+  std::array<std::unique_ptr<simulated_agent>, kCount> agents_;
   std::array<entry, kCount> entries_;
   std::array<std::array<link, kCount>, kCount> links_;  ///< By entry, agent.
   int last_submission_ = 0;
