--- a/src/jayrill/entry/job_api.h
+++ b/src/jayrill/entry/job_api.h
@@ -16,9 +16,9 @@
 #include "jayrill/entry/dispatch_port.h"
 #include "jayrill/entry/http_exchange.h"
 #include "jayrill/entry/job_format.h"
-#include "jayrill/entry/loop_delay.h"
 #include "jayrill/job/job_spec.h"
 #include "jayrill/metrics.h"
+#include "jayrill/session/loop_delay.h"
 
 namespace jayrill {
 
--- a/src/jayrill/entry/loop_delay.h
+++ b/src/jayrill/session/loop_delay.h
@@ -1,5 +1,5 @@
-#ifndef JAYRILL_ENTRY_LOOP_DELAY_H_
-#define JAYRILL_ENTRY_LOOP_DELAY_H_
+#ifndef JAYRILL_SESSION_LOOP_DELAY_H_
+#define JAYRILL_SESSION_LOOP_DELAY_H_
 
 #include <chrono>
 
@@ -34,4 +34,4 @@
 
 }  // namespace jayrill
 
-#endif  // JAYRILL_ENTRY_LOOP_DELAY_H_
+#endif  // JAYRILL_SESSION_LOOP_DELAY_H_
--- a/tests/unit/http/job_api_test.cc
+++ b/tests/unit/http/job_api_test.cc
@@ -2,93 +2,15 @@
 
 #include <gtest/gtest.h>
 
-#include <ostream>
 #include <string>
 
-#include "fake_ports.h"
-#include "http_test_support.h"
 #include "jayrill/claim/request_key.h"
 #include "jayrill/job/job_codec.h"
+#include "job_api_fixture.h"
 
 namespace jayrill {
 namespace {
 
-class job_api_test : public testing::Test {
- protected:
-  job_api_test() {
-    auto config = std::make_shared<cluster_config>();
-    config->profiles["small"].limits.max_tasks = 1;
-    config->profiles["small"].limits.max_deadline =
-        std::chrono::milliseconds(5000);
-    config->services["limited"].profile = "small";
-    config->services["quote"].profile = "missing";
-    config_ = config;
-    server_.Route("/v1/jobs", QHttpServerRequest::Method::Post,
-                  [this](const exchange_ptr& exchange) {
-                    api_.HandleSubmission(exchange);
-                  });
-    port_ = server_.Listen("127.0.0.1", 0).value_or(0);
-  }
-
-  std::string Key(int age_ms = 0) const {
-    return std::to_string(time_.WallNow().time_since_epoch().count() - age_ms) +
-           "-fitter";
-  }
-
-  static std::string Body(const std::string& key, int payload = 1) {
-    const std::string fields =
-        key.empty() ? R"("idempotent":true)"
-                    : R"("idempotent":false,"request_key":")" + key + "\"";
-    return R"({"service":"quote","team":"t",)" + fields +
-           R"(,"tasks":[{"kind":"k","payload":)" + std::to_string(payload) +
-           R"(},{"kind":"k","payload":2}]})";
-  }
-
-  void Submit(raw_client& client, const std::string& body) {
-    client.Send(Post("/v1/jobs", body));
-  }
-
-  bool WaitSubmitted(std::size_t count) {
-    return WaitUntil([&] { return dispatch_.submitted.size() == count; });
-  }
-
-  /// Submits a non-idempotent job and waits for its attempt to claim.
-  bool SubmitForClaim(raw_client& client, const std::string& key) {
-    const std::size_t count = claims_.acquired.size() + 1;
-    Submit(client, Body(key));
-    return WaitUntil([&] { return claims_.acquired.size() == count; });
-  }
-
-  void AnswerClaim(std::size_t index, const claim_decision& decision) {
-    claims_.acquired.at(index).second(decision);
-  }
-
-  void Grant(std::size_t index) {
-    AnswerClaim(index, Decision(claim_decision::kind::kGranted));
-  }
-
-  static claim_decision Decision(claim_decision::kind what) {
-    claim_decision decision;
-    decision.what = what;
-    return decision;
-  }
-
-  static job_outcome NotRunOutcome() {
-    return MakeJobFailure(job_effect::kNotRun, "no_minion", "none", "wait");
-  }
-
-  manual_clock time_;
-  metric_registry metrics_;
-  fake_dispatch dispatch_;
-  fake_claims claims_;
-  shared_config config_;
-  json_job_format format_;
-  job_api api_{{dispatch_, claims_, time_, metrics_, [this] { return config_; },
-                incarnation{7}, format_}};
-  http_server server_{{}, metrics_};
-  std::uint16_t port_ = 0;
-};
-
 const job_outcome kCompleteOutcome = job_answer{{"{\"price\":1}", "2"}};
 
 // Guards against replies that go to another caller when jobs end out of order.
@@ -345,90 +267,5 @@
   EXPECT_EQ(cache.bytes(), 0U);
 }
 
-/// What became of a request that waited in its socket while the process of the
-/// entry was paused.
-struct paused_case {
-  const char* name;
-  int deadline_ms;
-  bool caller_leaves;
-  bool is_submitted;
-};
-
-void PrintTo(const paused_case& param, std::ostream* out) {
-  *out << param.name;
-}
-
-class paused_entry_test : public job_api_test,
-                          public testing::WithParamInterface<paused_case> {};
-
-// Guards against an entry that wakes and starts the jobs of callers that have
-// left or whose deadline has passed meanwhile. They may have submitted them to
-// another entry, so a task would have two runs at the same time.
-TEST_P(paused_entry_test, TheDeadlineCountsFromTheArrival) {
-  constexpr std::chrono::milliseconds kPause{300};
-  raw_client client(port_);
-  Submit(client, R"({"service":"quote","team":"t","idempotent":true,)"
-                 R"("deadline_ms":)" +
-                     std::to_string(GetParam().deadline_ms) +
-                     R"(,"tasks":[{"kind":"k","payload":1}]})");
-  if (GetParam().caller_leaves) {
-    client.Abort();
-  }
-  time_.Advance(kPause);
-  if (GetParam().is_submitted) {
-    ASSERT_TRUE(WaitSubmitted(1));
-    EXPECT_EQ(dispatch_.submitted[0].spec.deadline,
-              std::chrono::milliseconds(GetParam().deadline_ms) - kPause);
-    return;
-  }
-  const auto refused = [this] {
-    return metrics_.Expose().find("not_run") != std::string::npos;
-  };
-  ASSERT_TRUE(WaitUntil(refused));
-  EXPECT_TRUE(dispatch_.submitted.empty());
-}
-
-INSTANTIATE_TEST_SUITE_P(
-    Cases,
-    paused_entry_test,
-    testing::Values(paused_case{"the_caller_waits", 5000, false, true},
-                    paused_case{"the_deadline_has_passed", 100, false, false},
-                    paused_case{"the_caller_has_left", 5000, true, false}),
-    [](const auto& tested) { return tested.param.name; });
-
-struct delay_case {
-  const char* name;
-  std::chrono::milliseconds since_tick;
-  std::chrono::milliseconds age;
-};
-
-void PrintTo(const delay_case& param, std::ostream* out) {
-  *out << param.name;
-}
-
-class loop_delay_test : public testing::TestWithParam<delay_case> {};
-
-// Guards against requests that count as new after a pause.
-TEST_P(loop_delay_test, InputIsAsOldAsThePause) {
-  manual_clock time;
-  loop_delay delay(time);
-  delay.Tick();
-  time.Advance(GetParam().since_tick);
-  EXPECT_EQ(delay.MaxInputAge(), GetParam().age);
-  delay.Tick();
-  EXPECT_EQ(delay.MaxInputAge(), std::chrono::milliseconds(0));
-}
-
-INSTANTIATE_TEST_SUITE_P(
-    Cases,
-    loop_delay_test,
-    testing::Values(delay_case{"on_time", loop_delay::kTickInterval,
-                               std::chrono::milliseconds(0)},
-                    delay_case{"late", std::chrono::milliseconds(400),
-                               std::chrono::milliseconds(400)},
-                    delay_case{"paused", std::chrono::milliseconds(3900),
-                               std::chrono::milliseconds(3900)}),
-    [](const auto& tested) { return tested.param.name; });
-
 }  // namespace
 }  // namespace jayrill
--- /dev/null
+++ b/tests/unit/http/paused_entry_test.cc
@@ -0,0 +1,98 @@
+#include <gtest/gtest.h>
+
+#include <ostream>
+#include <string>
+
+#include "jayrill/session/loop_delay.h"
+#include "job_api_fixture.h"
+
+namespace jayrill {
+namespace {
+
+/// What became of a request that waited in its socket while the process of the
+/// entry was paused.
+struct paused_case {
+  const char* name;
+  int deadline_ms;
+  bool caller_leaves;
+  bool is_submitted;
+};
+
+void PrintTo(const paused_case& param, std::ostream* out) {
+  *out << param.name;
+}
+
+class paused_entry_test : public job_api_test,
+                          public testing::WithParamInterface<paused_case> {};
+
+// Guards against an entry that wakes and starts the jobs of callers that have
+// left or whose deadline has passed meanwhile. They may have submitted them to
+// another entry, so a task would have two runs at the same time.
+TEST_P(paused_entry_test, TheDeadlineCountsFromTheArrival) {
+  constexpr std::chrono::milliseconds kPause{300};
+  raw_client client(port_);
+  Submit(client, R"({"service":"quote","team":"t","idempotent":true,)"
+                 R"("deadline_ms":)" +
+                     std::to_string(GetParam().deadline_ms) +
+                     R"(,"tasks":[{"kind":"k","payload":1}]})");
+  if (GetParam().caller_leaves) {
+    client.Abort();
+  }
+  time_.Advance(kPause);
+  if (GetParam().is_submitted) {
+    ASSERT_TRUE(WaitSubmitted(1));
+    EXPECT_EQ(dispatch_.submitted[0].spec.deadline,
+              std::chrono::milliseconds(GetParam().deadline_ms) - kPause);
+    return;
+  }
+  const auto refused = [this] {
+    return metrics_.Expose().find("not_run") != std::string::npos;
+  };
+  ASSERT_TRUE(WaitUntil(refused));
+  EXPECT_TRUE(dispatch_.submitted.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Cases,
+    paused_entry_test,
+    testing::Values(paused_case{"the_caller_waits", 5000, false, true},
+                    paused_case{"the_deadline_has_passed", 100, false, false},
+                    paused_case{"the_caller_has_left", 5000, true, false}),
+    [](const auto& tested) { return tested.param.name; });
+
+struct delay_case {
+  const char* name;
+  std::chrono::milliseconds since_tick;
+  std::chrono::milliseconds age;
+};
+
+void PrintTo(const delay_case& param, std::ostream* out) {
+  *out << param.name;
+}
+
+class loop_delay_test : public testing::TestWithParam<delay_case> {};
+
+// Guards against requests that count as new after a pause.
+TEST_P(loop_delay_test, InputIsAsOldAsThePause) {
+  manual_clock time;
+  loop_delay delay(time);
+  delay.Tick();
+  time.Advance(GetParam().since_tick);
+  EXPECT_EQ(delay.MaxInputAge(), GetParam().age);
+  delay.Tick();
+  EXPECT_EQ(delay.MaxInputAge(), std::chrono::milliseconds(0));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Cases,
+    loop_delay_test,
+    testing::Values(delay_case{"on_time", loop_delay::kTickInterval,
+                               std::chrono::milliseconds(0)},
+                    delay_case{"late", std::chrono::milliseconds(400),
+                               std::chrono::milliseconds(400)},
+                    delay_case{"paused", std::chrono::milliseconds(3900),
+                               std::chrono::milliseconds(3900)}),
+    [](const auto& tested) { return tested.param.name; });
+
+}  // namespace
+}  // namespace jayrill
