--- /dev/null
+++ b/tests/soak/link.h
@@ -0,0 +1,69 @@
+#ifndef TESTS_SOAK_LINK_H_
+#define TESTS_SOAK_LINK_H_
+
+#include <QObject>
+#include <QString>
+#include <QTcpServer>
+#include <QTcpSocket>
+#include <memory>
+#include <vector>
+
+namespace jayrill::soak {
+
+/// Forwards TCP connections to one address, and harms them as a network does.
+/// Bytes and ends of connections that are held back arrive when the link heals.
+/// Runs on the event loop of its thread.
+class link : public QObject {
+ public:
+  /// A way that bytes take.
+  enum class direction { kToTarget, kFromTarget };
+
+  /// Forwards to \p target, an address as in "127.0.0.1:80".
+  explicit link(QString target);
+
+  QString Address() const;
+
+  /// Holds back all bytes on this way until as many calls of Heal() as of
+  /// Cut() were made for it.
+  void Cut(direction way);
+  void Heal(direction way);
+
+  /// Holds back for good what the connections that are open now carry on this
+  /// way. New connections work.
+  void SilenceOpenConnections(direction way);
+
+  /// Resets the connections that are open now.
+  void ResetOpenConnections();
+
+ private:
+  /// One way of a connection.
+  struct stream {
+    QTcpSocket* from = nullptr;
+    QTcpSocket* to = nullptr;
+    bool is_silent = false;
+  };
+  struct connection {
+    std::unique_ptr<QTcpSocket> caller;
+    std::unique_ptr<QTcpSocket> target;
+    stream to_target;
+    stream from_target;
+  };
+  using connection_ptr = std::shared_ptr<connection>;
+
+  void Accept();
+  void Forward(const connection_ptr& open);
+  void Forward(const stream& way, bool is_cut);
+  bool HasEnded(const stream& way, bool is_cut) const;
+  void Remove(const connection_ptr& open);
+  bool IsCut(direction way) const;
+
+  QString target_;
+  QTcpServer server_;
+  std::vector<connection_ptr> connections_;
+  int cuts_to_target_ = 0;
+  int cuts_from_target_ = 0;
+};
+
+}  // namespace jayrill::soak
+
+#endif  // TESTS_SOAK_LINK_H_
