Log the submission of a run and where open starts are

From the record of the incident nobody could tell whether two runs of a task came from two submissions or from two starts of one: the agents' lines name the task only, and an entry that answered 504 left no line that says which agents had its starts.

The agents' line about a call that ended without success now has the id of its submission, which the line of the entry has as well. An entry that fails a job while starts have no result writes one line with the agent and attempt of each.

--- a/src/jayrill/agent/leased_minion_ends.cc
+++ b/src/jayrill/agent/leased_minion_ends.cc
@@ -50,7 +50,9 @@
                 .count()
           : -1;
   LOG(INFO) << "lease: call ended task=" << run.name.job << "." << run.name.task
-            << " attempt=" << run.name.attempt << " proof=" << ToString(proof)
+            << " attempt=" << run.name.attempt
+            << " job=" << ToString(run.call.order.job)
+            << " proof=" << ToString(proof)
             << " answer=" << (answer ? ToString(*answer) : "none")
             << " not_run=" << (outcome.outcome == task_outcome::kNotRun)
             << " has_run=" << run.has_run << " tries=" << run.order_tries
--- a/src/jayrill/entry/dispatcher.h
+++ b/src/jayrill/entry/dispatcher.h
@@ -10,6 +10,7 @@
 
 #include "jayrill/base/clock.h"
 #include "jayrill/base/error.h"
+#include "jayrill/base/log_limit.h"
 #include "jayrill/base/random_source.h"
 #include "jayrill/entry/agent_table.h"
 #include "jayrill/entry/crash_table.h"
@@ -271,6 +272,10 @@
   /// while this one was paused.
   void FailRepeatableJobs();
 
+  /// Logs where the starts of a failed \p job may still be at work: its caller
+  /// may submit it again, and its tasks then run elsewhere.
+  void LogOpenStarts(const job_record& job);
+
   /// Detects a pause of the process and expired jobs; every event calls it
   /// first.
   void BeginEvent();
@@ -301,6 +306,7 @@
   std::vector<std::function<void()>> drain_callbacks_;
   std::map<agent_handle, start_batch> outbox_;  ///< Sent by Flush.
   std::set<agent_handle> cancels_due_;          ///< Agents for RepeatCancels.
+  log_limit open_starts_log_;
 };
 
 }  // namespace jayrill
--- a/src/jayrill/entry/dispatcher_jobs.cc
+++ b/src/jayrill/entry/dispatcher_jobs.cc
@@ -1,4 +1,7 @@
+#include <glog/logging.h>
+
 #include <algorithm>
+#include <sstream>
 #include <utility>
 
 #include "jayrill/entry/admission.h"
@@ -276,6 +279,7 @@
 
 void dispatcher::OnDecided(job_record& job) {
   agents_.Pool(job.spec.service).RemoveJob(job.spec.team, job.id);
+  LogOpenStarts(job);
   CancelOutstanding(job);
   const job_id id = job.id;
   const job_outcome outcome = *job.collector.outcome();
@@ -285,6 +289,29 @@
   CheckDrained();
 }
 
+void dispatcher::LogOpenStarts(const job_record& job) {
+  const job_outcome& outcome = *job.collector.outcome();
+  if (outcome || job.outstanding == 0 ||
+      !open_starts_log_.Allows(time_.Now())) {
+    return;
+  }
+  std::ostringstream starts;
+  for (std::size_t i = 0; i < job.tasks.size(); ++i) {
+    const task_record& task = job.tasks[i];
+    const agent_session* const session =
+        task.number.value == 0 ? nullptr : agents_.Find(task.agent);
+    if (session != nullptr) {
+      starts << (starts.tellp() > 0 ? "," : "") << i << "." << task.starts
+             << "@" << session->agent_id();
+    }
+  }
+  LOG(INFO) << "dispatch: failed with open starts job=" << ToString(job.id)
+            << " name=" << job.spec.name << " code=" << outcome.error().code
+            << " effect=" << ToString(outcome.error().effect)
+            << " tasks=" << job.tasks.size() << " starts=" << starts.str()
+            << open_starts_log_.TakeLinesLeftOutField();
+}
+
 void dispatcher::CancelOutstanding(job_record& job) {
   if (job.outstanding == 0) {
     return;
--- a/tests/unit/watch_log_test.cc
+++ b/tests/unit/watch_log_test.cc
@@ -1,33 +1,14 @@
 #include "jayrill/store/watch_log.h"
 
-#include <glog/logging.h>
 #include <gtest/gtest.h>
 
 #include <string>
-#include <vector>
+
+#include "recording_sink.h"
 
 namespace jayrill {
 namespace {
 
-/// Records the messages that are logged during its lifetime.
-class recording_sink : public google::LogSink {
- public:
-  recording_sink() { google::AddLogSink(this); }
-  ~recording_sink() override { google::RemoveLogSink(this); }
-
-  void send(google::LogSeverity /*severity*/,
-            const char* /*full_filename*/,
-            const char* /*base_filename*/,
-            int /*line*/,
-            const google::LogMessageTime& /*time*/,
-            const char* message,
-            std::size_t size) override {
-    lines.emplace_back(message, size);
-  }
-
-  std::vector<std::string> lines;
-};
-
 // Guards against filling the log with retries while the store cannot be
 // reached, and against not logging that the watch works again.
 TEST(watch_log_test, WritesOneLineForTheLossAndOneForTheReturn) {
