Stop runs after they have been collected

agent_core::StopRuns called its host for each run while it walked through the runs. A host that reports the end of a call at once removes its run from that map; the walk then went on from a removed element. The hosts of the product report from another thread, so no process was affected.

--- a/src/jayrill/agent/agent_core.cc
+++ b/src/jayrill/agent/agent_core.cc
@@ -281,12 +281,17 @@
 
 void agent_core::StopRuns(
     const std::function<bool(const running_call&)>& matches) {
+  std::vector<std::uint64_t> calls;
   for (const auto& [call, run] : running_) {
     if (matches(run)) {
       run.guard->Close();
-      host_.StopCall(call);
+      calls.push_back(call);
     }
   }
+  // The host may report the end of a call at once, which removes its run.
+  for (const std::uint64_t call : calls) {
+    host_.StopCall(call);
+  }
 }
 
 void agent_core::StopRunsOfSilentEntries() {
