Vouch for runs no longer than callers are heard

What callers would see: a task with two runs at the same time. An entry hears its callers on one thread and agents on another. While the thread for callers stood still, the other one went on answering the reports of agents, and each answer extended the leases of runs whose callers had left unheard. If an agent then died or froze, or stops stayed unanswered, the runs lasted until 1.1 s after the last answer, beside those of the job's repetition. docs/platform.md had this as not covered and not shown.

Evidence: two_disruptions_test has a second kind of plays, in which callers leave before their deadline and the thread for callers stands still for 0.5 to 3 s, beside one other disruption.

Ruled out: an answer that waits for a turn of the other thread, which costs two hand-overs for each report.

Change: the thread for callers states every 100 ms until when it has handled its input. When that is more than 250 ms ago, the answer to a report says so, and the agent extends the leases only up to then; starts that are placed meanwhile count as that much older. An agent without this change ignores the field.

--- a/src/jayrill/agent/agent_core.cc
+++ b/src/jayrill/agent/agent_core.cc
@@ -262,12 +262,14 @@
   sessions_[entry].OnAlive(when);
 }
 
-void agent_core::OnReportAnswered(incarnation entry, steady_time sent) {
+void agent_core::OnReportAnswered(incarnation entry,
+                                  steady_time sent,
+                                  std::chrono::milliseconds callers_lag) {
   OnAlive(entry, sent);
   const std::uint64_t generation = sessions_[entry].generation();
   for (auto& [call, run] : running_) {
     if (run.entry == entry && run.generation == generation) {
-      run.guard->Extend(sent);
+      run.guard->Extend(sent - callers_lag);
     }
   }
 }
--- a/src/jayrill/agent/agent_core.h
+++ b/src/jayrill/agent/agent_core.h
@@ -155,8 +155,11 @@
 
   /// \p entry has answered the report that was sent at \p sent. Cancellations
   /// travel in order with such answers, so that it still waited for the runs
-  /// that it has not cancelled.
-  void OnReportAnswered(incarnation entry, steady_time sent);
+  /// that it has not cancelled, or did so \p callers_lag earlier: for that long
+  /// it may have missed that callers have left.
+  void OnReportAnswered(incarnation entry,
+                        steady_time sent,
+                        std::chrono::milliseconds callers_lag);
 
   /// \returns true when tasks of \p entry run and would be stopped if the entry
   /// stayed silent for agent_settings::silence_timeout.
--- a/src/jayrill/agent/entry_link.cc
+++ b/src/jayrill/agent/entry_link.cc
@@ -416,6 +416,7 @@
        told_retirement = retiring_](
           capnp::Response<wire::EntrySession::ReportResults>&& response) {
         OnAcknowledged(serial, numbers, sent, told_retirement,
+                       std::chrono::milliseconds(response.getCallersLagMs()),
                        std::chrono::milliseconds(response.getHeartbeatMs()),
                        std::chrono::milliseconds(response.getStatusMs()));
         if (IsCurrent(serial)) {
@@ -432,12 +433,13 @@
                                 const std::vector<start_number>& numbers,
                                 steady_time sent,
                                 bool told_retirement,
+                                std::chrono::milliseconds callers_lag,
                                 std::chrono::milliseconds heartbeat,
                                 std::chrono::milliseconds status_interval) {
   if (!OnMessage(serial)) {
     return;
   }
-  context_.core.OnReportAnswered(entry_, sent);
+  context_.core.OnReportAnswered(entry_, sent, callers_lag);
   schedule_.SetWantedStatusInterval(status_interval);
   schedule_.SetHeartbeat(heartbeat);
   context_.core.SetHeartbeat(schedule_.heartbeat());
--- a/src/jayrill/agent/entry_link.h
+++ b/src/jayrill/agent/entry_link.h
@@ -117,6 +117,7 @@
                       const std::vector<start_number>& numbers,
                       steady_time sent,
                       bool told_retirement,
+                      std::chrono::milliseconds callers_lag,
                       std::chrono::milliseconds heartbeat,
                       std::chrono::milliseconds status_interval);
   /// Sends the answers to start calls and the ends of report calls that were
--- a/src/jayrill/entry/agent_server.cc
+++ b/src/jayrill/entry/agent_server.cc
@@ -35,12 +35,14 @@
                            std::unique_ptr<placement_strategy> strategy,
                            const clock& time,
                            kj::Timer& timer,
+                           const loop_progress* callers,
                            decided_callback decided,
                            config_callback newer_config,
                            std::function<void()> after_flush)
     : settings_(settings),
       time_(time),
       timer_(timer),
+      callers_(callers),
       decided_(std::move(decided)),
       newer_config_(std::move(newer_config)),
       after_flush_(std::move(after_flush)),
@@ -225,7 +227,18 @@
   return found == agent_connections_.end() ? nullptr : found->second;
 }
 
+std::chrono::milliseconds agent_server::callers_lag() const {
+  return callers_ == nullptr ? std::chrono::milliseconds(0) : callers_->Lag();
+}
+
 void agent_server::SendStarts(agent_handle agent, start_batch batch) {
+  // A caller that this entry has not heard leave may have submitted its job to
+  // another one, so the starts are as old as that.
+  constexpr std::chrono::microseconds kOldestKnown{1};
+  if (batch.agent_time.count() > 0) {
+    batch.agent_time = std::max<std::chrono::microseconds>(
+        batch.agent_time - callers_lag(), kOldestKnown);
+  }
   if (agent_connection* const connection = FindConnection(agent)) {
     connection->SendStarts(std::move(batch));
   }
--- a/src/jayrill/entry/agent_server.h
+++ b/src/jayrill/entry/agent_server.h
@@ -19,6 +19,7 @@
 #include "jayrill/entry/dispatch_settings.h"
 #include "jayrill/entry/dispatcher.h"
 #include "jayrill/entry/heartbeat.h"
+#include "jayrill/session/loop_progress.h"
 
 namespace jayrill {
 
@@ -33,11 +34,13 @@
 
   /// \p decided gets the outcome of each job, \p newer_config a configuration
   /// that an agent has sent and that is newer than the one in force.
-  /// \p after_flush is called after each flush of the dispatcher.
+  /// \p after_flush is called after each flush of the dispatcher. \p callers is
+  /// the event loop that serves callers; null: there is none.
   agent_server(const dispatch_settings& settings,
                std::unique_ptr<placement_strategy> strategy,
                const clock& time,
                kj::Timer& timer,
+               const loop_progress* callers,
                decided_callback decided,
                config_callback newer_config,
                std::function<void()> after_flush);
@@ -84,6 +87,9 @@
   }
   const clock& time() const { return time_; }
 
+  /// \returns for how long this entry may have missed that callers have left.
+  std::chrono::milliseconds callers_lag() const;
+
   // dispatch_output
   void SendStarts(agent_handle agent, start_batch batch) override;
   void SendCancel(agent_handle agent,
@@ -110,6 +116,7 @@
   dispatch_settings settings_;
   const clock& time_;
   kj::Timer& timer_;
+  const loop_progress* callers_;
   decided_callback decided_;
   config_callback newer_config_;
   std::function<void()> after_flush_;
--- a/src/jayrill/entry/dispatch_service.cc
+++ b/src/jayrill/entry/dispatch_service.cc
@@ -103,7 +103,7 @@
                              bool& has_started) {
   auto io = kj::setupAsyncIo();
   agent_server server(
-      settings_, std::move(strategy), time_, io.provider->getTimer(),
+      settings_, std::move(strategy), time_, io.provider->getTimer(), callers_,
       [this](job_id id, job_outcome outcome) {
         OnJobDecided(id, std::move(outcome));
       },
--- a/src/jayrill/entry/dispatch_service.h
+++ b/src/jayrill/entry/dispatch_service.h
@@ -19,6 +19,7 @@
 #include "jayrill/entry/dispatch_port.h"
 #include "jayrill/entry/dispatch_settings.h"
 #include "jayrill/entry/dispatch_view.h"
+#include "jayrill/session/loop_progress.h"
 
 namespace jayrill {
 
@@ -36,6 +37,11 @@
   dispatch_service(const dispatch_service&) = delete;
   dispatch_service& operator=(const dispatch_service&) = delete;
 
+  /// Makes the service vouch for jobs no longer than \p callers, the event loop
+  /// that serves their callers, has handled its input. Called before Start;
+  /// \p callers must outlive the service.
+  void FollowCallers(const loop_progress& callers) { callers_ = &callers; }
+
   /// Starts the thread and listens for agents. Called at most once.
   /// \returns the port that agents connect to.
   result<std::uint16_t> Start();
@@ -84,6 +90,7 @@
 
   dispatch_settings settings_;
   const clock& time_;
+  const loop_progress* callers_ = nullptr;
   work_queue queue_;
   std::thread thread_;
   std::atomic<bool> stopping_ = false;
--- a/src/jayrill/entry/entry_port_server.cc
+++ b/src/jayrill/entry/entry_port_server.cc
@@ -84,6 +84,8 @@
       static_cast<std::uint32_t>(server.heartbeat_interval().count()));
   answer.setStatusMs(
       static_cast<std::uint32_t>(server.status_interval().count()));
+  answer.setCallersLagMs(
+      static_cast<std::uint32_t>(server.callers_lag().count()));
   connection_.OnReportAnswered();
   return kj::READY_NOW;
 }
--- a/src/jayrill/entry/entry_process.cc
+++ b/src/jayrill/entry/entry_process.cc
@@ -67,6 +67,7 @@
       random_(random_source::FromSystem()),
       incarnation_{random_()},
       store_(overrides.external_store),
+      callers_progress_(time),
       dispatch_(DispatchSettings(settings_, incarnation_, random_()), time),
       overrides_(std::move(overrides)),
       last_confirmed_wall_time_(time.WallNow()) {
@@ -99,6 +100,7 @@
           offer_config(std::move(config));
         });
       });
+  dispatch_.FollowCallers(callers_progress_);
   const result<std::uint16_t> rpc_port = dispatch_.Start();
   if (!rpc_port) {
     return tl::unexpected(rpc_port.error());
@@ -113,8 +115,10 @@
   QObject::connect(&tick_timer_, &QTimer::timeout, &tick_timer_,
                    [this] { Tick(); });
   tick_timer_.start(kTickInterval);
-  QObject::connect(&loop_timer_, &QTimer::timeout, &loop_timer_,
-                   [this] { jobs_->Tick(); });
+  QObject::connect(&loop_timer_, &QTimer::timeout, &loop_timer_, [this] {
+    jobs_->Tick();
+    callers_progress_.Tick();
+  });
   loop_timer_.start(loop_delay::kTickInterval);
   Tick();
   LOG(INFO) << "entry: started id=" << settings_.id
--- a/src/jayrill/entry/entry_process.h
+++ b/src/jayrill/entry/entry_process.h
@@ -25,6 +25,7 @@
 #include "jayrill/entry/operator_api.h"
 #include "jayrill/membership/membership.h"
 #include "jayrill/metrics.h"
+#include "jayrill/session/loop_progress.h"
 #include "jayrill/store/qt_scheduler.h"
 #include "jayrill/store/store.h"
 
@@ -134,6 +135,7 @@
   qt_scheduler timers_;
   std::unique_ptr<store> own_store_;
   store* store_;
+  loop_progress callers_progress_;
   dispatch_service dispatch_;
   entry_overrides overrides_;
   json_job_format json_format_;
@@ -146,7 +148,7 @@
   std::unique_ptr<http_server> http_;
   std::unique_ptr<http_server> health_;
   QTimer tick_timer_;
-  QTimer loop_timer_;  ///< Calls job_api::Tick.
+  QTimer loop_timer_;  ///< Ticks jobs_ and callers_progress_.
   std::uint16_t http_port_ = 0;
   std::uint16_t rpc_port_ = 0;
   bool has_config_ = false;
--- a/src/jayrill/rpc/dispatch.capnp
+++ b/src/jayrill/rpc/dispatch.capnp
@@ -19,12 +19,14 @@
 }
 
 interface EntrySession {
-  report @0 (report :AgentReport) -> (heartbeatMs :UInt32, statusMs :UInt32);
+  report @0 (report :AgentReport)
+      -> (heartbeatMs :UInt32, statusMs :UInt32, callersLagMs :UInt32);
   # Carries results and the state of the minion; also the heartbeat of the agent.
   # The response acknowledges every result of the report. heartbeatMs is the
   # heartbeat interval, which changes with the number of sessions of the entry;
   # 0: unchanged. statusMs is the shortest time between two reports without
-  # results that the entry asks for.
+  # results that the entry asks for. callersLagMs is for how long the entry may
+  # have missed that callers have left; 0: it hears them.
 
   goodbye @1 () -> ();
   # The agent ends after a graceful stop. No start is outstanding, unless the
--- a/src/jayrill/rpc/dispatch.capnp.h
+++ b/src/jayrill/rpc/dispatch.capnp.h
@@ -208,7 +208,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fc5523bf8835d071, 1, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(fc5523bf8835d071, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1144,6 +1144,8 @@
 
   inline  ::uint32_t getStatusMs() const;
 
+  inline  ::uint32_t getCallersLagMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1178,6 +1180,9 @@
   inline  ::uint32_t getStatusMs();
   inline void setStatusMs( ::uint32_t value);
 
+  inline  ::uint32_t getCallersLagMs();
+  inline void setCallersLagMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3745,6 +3750,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t EntrySession::ReportResults::Reader::getCallersLagMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t EntrySession::ReportResults::Builder::getCallersLagMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void EntrySession::ReportResults::Builder::setCallersLagMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline AgentPort::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/src/jayrill/session.h
+++ b/src/jayrill/session.h
@@ -7,6 +7,7 @@
 /// messages, and detection of a paused process.
 
 #include "jayrill/session/loop_delay.h"
+#include "jayrill/session/loop_progress.h"
 #include "jayrill/session/pause_detector.h"
 #include "jayrill/session/peer_clock.h"
 #include "jayrill/session/session_number.h"
--- a/tests/entry/dispatch_service_test.cc
+++ b/tests/entry/dispatch_service_test.cc
@@ -27,7 +27,10 @@
 class dispatch_service_test : public testing::Test {
  protected:
   dispatch_service_test()
-      : io_(kj::setupAsyncIo()), service_(Settings(), time_) {
+      : io_(kj::setupAsyncIo()),
+        callers_(callers_time_),
+        service_(Settings(), time_) {
+    service_.FollowCallers(callers_);
     const auto port = service_.Start();
     EXPECT_TRUE(port.has_value());
     port_ = *port;
@@ -87,6 +90,8 @@
   std::atomic<int> decided_ = 0;
   std::atomic<std::uint64_t> outstanding_ = 0;
   std::optional<job_outcome> outcome_;
+  manual_clock callers_time_;
+  loop_progress callers_;  ///< Of the thread that serves callers.
   dispatch_service service_;
   std::uint16_t port_ = 0;
 };
@@ -209,6 +214,37 @@
   ExpectAnswer(3);
 }
 
+// Guards against an entry that vouches for runs, or places starts as new, while
+// its thread for callers stands still and may have missed that they have left.
+TEST_F(dispatch_service_test, VouchesNoLongerThanCallersAreHeard) {
+  constexpr seconds kLag{600};
+  loop_progress callers(callers_time_);
+  callers_time_.Advance(kLag);
+  dispatch_service service(Settings(), time_);
+  service.FollowCallers(callers);
+  const auto port = service.Start();
+  ASSERT_TRUE(port.has_value());
+  service.OfferConfig(std::make_shared<const cluster_config>());
+  echo_agent agent(io_, *port, "agent-1");
+  agent.Connect();
+  service.Submit(job_id{{1}, 1}, Job(1),
+                 [this](const job_outcome&) { ++decided_; });
+  RunUntil(agent, [this] { return decided_ == 1; });
+  EXPECT_EQ(agent.callers_lag(), kLag);
+  EXPECT_GT(agent.last_agent_micros(), 0U);
+  EXPECT_LT(agent.last_agent_micros(), echo_agent::kHelloMicros);
+}
+
+// Guards against reports that renew no lease although callers are heard.
+TEST_F(dispatch_service_test, VouchesWhileCallersAreHeard) {
+  echo_agent agent(io_, port_, "agent-1");
+  agent.Connect();
+  Submit(1, 1);
+  RunUntil(agent, [this] { return decided_ == 1; });
+  EXPECT_EQ(agent.callers_lag(), seconds(0));
+  EXPECT_GE(agent.last_agent_micros(), echo_agent::kHelloMicros);
+}
+
 // Guards against a job whose caller never gets an outcome when the entry stops.
 TEST_F(dispatch_service_test, TellsEveryCallerWhenItStops) {
   Submit(1, 3);
--- a/tests/entry/echo_agent.h
+++ b/tests/entry/echo_agent.h
@@ -4,6 +4,7 @@
 #include <capnp/rpc-twoparty.h>
 #include <kj/async-io.h>
 
+#include <chrono>
 #include <string>
 #include <vector>
 
@@ -82,9 +83,14 @@
       Encode(results_[i], list[i]);
     }
     results_.clear();
-    request.send().ignoreResult().wait(io_.waitScope);
+    const auto answer = request.send().wait(io_.waitScope);
+    callers_lag_ = std::chrono::milliseconds(answer.getCallersLagMs());
   }
 
+  /// \returns for how long the entry may have missed that callers have left, by
+  /// its answer to the last report.
+  std::chrono::milliseconds callers_lag() const { return callers_lag_; }
+
   /// \returns the agent's time in the last batch of starts.
   std::uint64_t last_agent_micros() const { return last_agent_micros_; }
 
@@ -170,6 +176,7 @@
   std::uint64_t revision_ = 0;
   std::uint64_t session_number_ = 0;
   std::uint64_t last_agent_micros_ = 0;
+  std::chrono::milliseconds callers_lag_{};
   std::vector<task_result> results_;
   std::size_t executions_ = 0;
   job_id last_job_;
--- a/tests/unit/late_start_test.cc
+++ b/tests/unit/late_start_test.cc
@@ -87,7 +87,7 @@
   rig.core.OnAlive(kEntry, rig.time.Now());
   rig.core.AdmitBatch(kEntry, {{5}, rig.epoch, {Order(2)}, rig.time.Now()});
   EXPECT_EQ(guard->awaited_at(), placed);
-  rig.core.OnReportAnswered(kEntry, rig.time.Now());
+  rig.core.OnReportAnswered(kEntry, rig.time.Now(), milliseconds(0));
   EXPECT_EQ(guard->awaited_at(), rig.time.Now());
 }
 
--- a/tests/unit/two_disruptions_test.cc
+++ b/tests/unit/two_disruptions_test.cc
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "jayrill/session/loop_progress.h"
 #include "simulated_agent.h"
 
 namespace jayrill {
@@ -17,17 +18,33 @@
 constexpr milliseconds kCallerDeadline{1500};
 constexpr std::size_t kCount = 2;  ///< Of the entries, and of the agents.
 
+/// What is drawn besides the two disruptions that every play has.
+struct play_options {
+  const char* name;
+  /// Callers also leave before their deadline, and the first disruption is that
+  /// the thread of an entry for callers stands still by itself.
+  bool callers_are_missed = false;
+};
+
+void PrintTo(const play_options& param, std::ostream* out) {
+  *out << param.name;
+}
+
 /// Entries as docs/platform.md describes them, callers that send their jobs
 /// again, and real agents, in virtual time.
 class deployment {
  public:
-  explicit deployment(std::uint64_t seed) : random_(seed) {
+  deployment(std::uint64_t seed, const play_options& options)
+      : options_(options), random_(seed) {
     for (std::size_t i = 0; i < kCount; ++i) {
       minions_[i] = std::make_unique<minion_standin>(
           time_, timers_, random_source(seed + i), monitor_,
           minion_faults{.hangs = 70});
       StartAgent(i);
     }
+    for (entry& node : entries_) {
+      TickCallers(node);
+    }
     timers_.RunFor(milliseconds(300));
   }
 
@@ -37,9 +54,13 @@
       timers_.After(milliseconds(random_.Below(1200)),
                     [this, job] { Submit(job, random_.Below(kCount)); });
     }
-    for (int i = 0; i < 2; ++i) {
+    const int drawn = options_.callers_are_missed ? 1 : 2;
+    for (int i = 0; i < drawn; ++i) {
       timers_.After(milliseconds(random_.Below(1500)), [this] { Disrupt(); });
     }
+    if (options_.callers_are_missed) {
+      MissCallers(random_.Below(kCount));
+    }
     timers_.RunFor(milliseconds(9000));
   }
 
@@ -56,6 +77,7 @@
     simulated_process self;  ///< Its thread for agents.
     /// Its thread for callers, which wakes later after a freeze.
     simulated_process callers;
+    std::unique_ptr<loop_progress> progress;  ///< Of that thread.
     bool alive = true;
     std::uint64_t life = 1;
     std::map<int, submission> submissions;
@@ -105,6 +127,19 @@
                   receiver.Wrap(std::move(message)));
   }
 
+  void TickCallers(entry& node) {
+    node.progress = std::make_unique<loop_progress>(time_);
+    ScheduleCallersTick(node);
+  }
+
+  void ScheduleCallersTick(entry& node) {
+    timers_.After(loop_progress::kTickInterval,
+                  node.callers.Wrap([this, &node] {
+                    node.progress->Tick();
+                    ScheduleCallersTick(node);
+                  }));
+  }
+
   void TickAgent(std::size_t a) {
     timers_.After(kPauseTick, hosts_[a].Wrap([this, a] {
       agents_[a]->core().Tick();
@@ -131,9 +166,10 @@
            for (const task_result& item : results) {
              OnResult(e, a, item);
            }
-           Send(e, a, false, hosts_[a], [this, a, sent, id] {
-             agents_[a]->core().OnReportAnswered(id, sent);
-           });
+           Send(e, a, false, hosts_[a],
+                [this, a, sent, id, lag = entries_[e].progress->Lag()] {
+                  agents_[a]->core().OnReportAnswered(id, sent, lag);
+                });
          });
   }
 
@@ -160,14 +196,24 @@
     const int number = ++last_submission_;
     entries_[e].submissions[number] = {job, random_.Below(kCount), {}, false};
     entries_[e].callers.Wrap([this, e, number] { Place(e, number); })();
+    const milliseconds patience =
+        options_.callers_are_missed
+            ? milliseconds(random_.Below(kCallerDeadline.count()))
+            : kCallerDeadline;
     // The entry gives the job up, or the caller closes the connection.
-    timers_.After(kCallerDeadline, [this, e, number] {
+    timers_.After(patience, [this, e, number] {
       submission& known = entries_[e].submissions[number];
       if (!known.over) {
         Resend(known, kRepeatAfter);
         entries_[e].callers.Wrap([this, e, number] { Cancel(e, number); })();
       }
     });
+    if (options_.callers_are_missed) {
+      // The thread for agents knows the deadline of the job by itself.
+      timers_.After(kCallerDeadline, entries_[e].self.Wrap([this, e, number] {
+        Cancel(e, number);
+      }));
+    }
   }
 
   void Place(std::size_t e, int number) {
@@ -239,13 +285,26 @@
         }
         break;
       default:
-        minions_[i]->SetFaults(
-            {.late_orders = 30 + random_.Below(71), .hangs = 70});
-        timers_.After(length,
-                      [this, i] { minions_[i]->SetFaults({.hangs = 70}); });
+        MakeOrdersLate(i, length);
     }
   }
 
+  /// The thread of entry \p e for callers stands still, while the one for
+  /// agents goes on.
+  void MissCallers(std::size_t e) {
+    timers_.After(milliseconds(random_.Below(600)), [this, e] {
+      entries_[e].callers.Freeze();
+      timers_.After(milliseconds(500 + random_.Below(2500)),
+                    [this, e] { entries_[e].callers.Thaw(); });
+    });
+  }
+
+  void MakeOrdersLate(std::size_t i, milliseconds length) {
+    minions_[i]->SetFaults(
+        {.late_orders = 30 + random_.Below(71), .hangs = 70});
+    timers_.After(length, [this, i] { minions_[i]->SetFaults({.hangs = 70}); });
+  }
+
   void KillEntry(std::size_t e, milliseconds length) {
     entries_[e].self.Kill();
     entries_[e].callers.Kill();
@@ -254,6 +313,7 @@
     timers_.After(length, [this, e] {
       ++entries_[e].life;
       entries_[e].alive = true;
+      TickCallers(entries_[e]);
       for (std::size_t a = 0; a < kCount; ++a) {
         hosts_[a].Wrap([this, e, a] { Connect(e, a); })();
       }
@@ -281,6 +341,7 @@
     StartAgent(a);
   }
 
+  play_options options_;
   random_source random_;
   manual_clock time_;
   manual_scheduler timers_{time_};
@@ -293,18 +354,27 @@
   int last_submission_ = 0;
 };
 
+class two_disruptions_test : public testing::TestWithParam<play_options> {};
+
 // Guards against bounds that hold for each disruption alone and add up to more
 // than the time after which callers send their jobs again: any two of a killed
 // or frozen entry, a killed or frozen agent, a link that is cut, and orders
-// that are carried out late.
-TEST(two_disruptions_test, NoTaskRunsTwiceAtTheSameTime) {
+// that are carried out late; with callers_missed also against an entry that
+// vouches for runs of callers that it has not heard leave.
+TEST_P(two_disruptions_test, NoTaskRunsTwiceAtTheSameTime) {
   constexpr std::uint64_t kSeeds = 400;
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-    deployment site(seed);
+    deployment site(seed, GetParam());
     site.Play();
     EXPECT_EQ(site.overlaps(), 0) << "seed " << seed;
   }
 }
 
+INSTANTIATE_TEST_SUITE_P(plays,
+                         two_disruptions_test,
+                         testing::Values(play_options{"callers_heard"},
+                                         play_options{"callers_missed", true}),
+                         [](const auto& play) { return play.param.name; });
+
 }  // namespace
 }  // namespace jayrill
