Build the tests of the soak with sanitizers

run_log_test is found by ctest in each build directory, so the sanitizer builds must build it: an unbuilt test counts as failed. The soak itself is left out there, as the scenarios are.

--- a/tools/sanitizer_tests.sh
+++ b/tools/sanitizer_tests.sh
@@ -45,7 +45,7 @@
 # A fixed seed that differs from the one in tools/build_and_test.sh, so that
 # RapidCheck generates other cases.
 export RC_PARAMS=${RC_PARAMS:-seed=2}
-tests=(tests/unit/all tests/entry/all tests/platform/all)
+tests=(tests/unit/all tests/entry/all tests/platform/all tests/soak/all)
 selected=${1:-asan tsan}
 case "$selected" in *asan*)
   run asan address,undefined '^scenario$' \
