Name what the entry extends, and read no closed socket in the soak

Comments and test names say "extends leases" where they said "vouches"; no code of the program is changed. The link of the soak asked a socket that was closed for bytes, which Qt reported for each connection that ended unread (a play with 80 agents).

--- a/src/jayrill/entry/dispatch_service.h
+++ b/src/jayrill/entry/dispatch_service.h
@@ -37,9 +37,9 @@
   dispatch_service(const dispatch_service&) = delete;
   dispatch_service& operator=(const dispatch_service&) = delete;
 
-  /// Makes the service vouch for jobs no longer than \p callers, the event loop
-  /// that serves their callers, has handled its input. Called before Start;
-  /// \p callers must outlive the service.
+  /// Makes the service extend the leases of runs only up to when \p callers,
+  /// the event loop that serves callers, has handled its input. Called before
+  /// Start; \p callers must outlive the service.
   void FollowCallers(const loop_progress& callers) { callers_ = &callers; }
 
   /// Starts the thread and listens for agents. Called at most once.
--- a/src/jayrill/session/loop_progress.h
+++ b/src/jayrill/session/loop_progress.h
@@ -9,7 +9,7 @@
 namespace jayrill {
 
 /// Tells other threads until when an event loop has handled its input, so that
-/// they do not vouch for what it may have missed.
+/// they do not act on a state that later input may have changed.
 ///
 /// Tick() is called on the thread of the loop; every thread may call Lag().
 class loop_progress {
--- a/tests/entry/dispatch_service_test.cc
+++ b/tests/entry/dispatch_service_test.cc
@@ -214,9 +214,9 @@
   ExpectAnswer(3);
 }
 
-// Guards against an entry that vouches for runs, or places starts as new, while
+// Guards against an entry that extends leases, or places starts as new, while
 // its thread for callers stands still and may have missed that they have left.
-TEST_F(dispatch_service_test, VouchesNoLongerThanCallersAreHeard) {
+TEST_F(dispatch_service_test, ExtendsLeasesOnlyWhileCallersAreHeard) {
   constexpr seconds kLag{600};
   loop_progress callers(callers_time_);
   callers_time_.Advance(kLag);
@@ -236,7 +236,7 @@
 }
 
 // Guards against reports that renew no lease although callers are heard.
-TEST_F(dispatch_service_test, VouchesWhileCallersAreHeard) {
+TEST_F(dispatch_service_test, ExtendsLeasesWithoutALag) {
   echo_agent agent(io_, port_, "agent-1");
   agent.Connect();
   Submit(1, 1);
--- a/tests/soak/link.cc
+++ b/tests/soak/link.cc
@@ -92,7 +92,7 @@
 }
 
 void link::Forward(const stream& way, bool is_cut) {
-  if (is_cut || way.is_silent ||
+  if (is_cut || way.is_silent || !way.from->isOpen() ||
       way.to->state() != QAbstractSocket::ConnectedState) {
     return;
   }
--- a/tests/unit/loop_progress_test.cc
+++ b/tests/unit/loop_progress_test.cc
@@ -21,7 +21,7 @@
 
 class loop_progress_test : public testing::TestWithParam<lag_case> {};
 
-// Guards against a thread that vouches for input which the loop may have
+// Guards against a thread that relies on input which the loop may have
 // missed: only what came before the tick before the last one is known to be
 // handled.
 TEST_P(loop_progress_test, LagsBehindTheTickBeforeTheLast) {
--- a/tests/unit/two_disruptions_test.cc
+++ b/tests/unit/two_disruptions_test.cc
@@ -360,7 +360,7 @@
 // than the time after which callers send their jobs again: any two of a killed
 // or frozen entry, a killed or frozen agent, a link that is cut, and orders
 // that are carried out late; with callers_missed also against an entry that
-// vouches for runs of callers that it has not heard leave.
+// extends the leases of runs whose callers it has not heard leave.
 TEST_P(two_disruptions_test, NoTaskRunsTwiceAtTheSameTime) {
   constexpr std::uint64_t kSeeds = 400;
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
