--- a/tests/soak/faults.cc
+++ b/tests/soak/faults.cc
@@ -21,6 +21,7 @@
   static const std::vector<fault_kind> kKinds{
       {"freeze", "freeze entry", &self::FreezeEntry},
       {"freeze", "freeze all entries", &self::FreezeAllEntries},
+      {"long-freeze", "freeze entry for long", &self::FreezeEntryForLong},
       {"throttle", "throttle entry", &self::ThrottleEntry},
       {"kill", "kill entry", &self::KillEntry},
       {"stop", "terminate entry", &self::TerminateEntry},
@@ -167,6 +168,13 @@
   FreezeFor(*entry.process, Between(200, 4000));
 }
 
+void fault_series::FreezeEntryForLong() {
+  // Callers leave, submit their jobs elsewhere, and these run when it wakes.
+  entry_node& entry = AnyEntry();
+  Note(entry.name);
+  FreezeFor(*entry.process, Between(3000, 4000));
+}
+
 void fault_series::FreezeAllEntries() {
   const milliseconds duration = Between(100, 2500);
   Note({});
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -46,6 +46,7 @@
   static const std::vector<fault_kind>& Kinds();
 
   void FreezeEntry();
+  void FreezeEntryForLong();
   void FreezeAllEntries();
   void ThrottleEntry();
   void KillEntry();
