Compute the end of a lease from the least that the clock shows

A task may run beside its next run when an entry and the agent fail right after the first start on a minion that was idle.

Cause: an idle agent requests no report, so its reading of the minion's clock gets old. The end of a lease was that reading plus the whole time since, while the clock may be 2 % slow: after 50 s without calls a lease reaches 1 s further than the bound of 1,040 ms allows, up to max_hold_ms.

Ruled out: reading the clock all the time, which costs each idle agent calls for nothing.

idle_agent_test failed before for a minute and an hour without calls and passes now.

--- a/src/jayrill/agent/leased_minion.cc
+++ b/src/jayrill/agent/leased_minion.cc
@@ -31,6 +31,10 @@
 /// The clock of a minion may run slower than the agent's by this fraction.
 constexpr double kMinionClockError = 0.02;
 
+/// Longest time since the last reading of the minion's clock at which a call is
+/// ordered on an idle minion. The lease is shorter by kMinionClockError of it.
+constexpr std::chrono::seconds kMaxClockAge{1};
+
 /// Time for an order that arrives just before the lease ends to be carried out,
 /// and for its run to be stopped after that.
 constexpr std::chrono::milliseconds kLeaseMargin{110};
@@ -101,7 +105,7 @@
     // An order now would extend the lease and so delay the time at which the
     // runs of an unreachable minion count as ended.
     Refuse(call, not_run_reason::kNoMinion, "the minion does not answer");
-  } else if (synced_) {
+  } else if (synced_ && (!runs_.empty() || IsClockCurrent())) {
     BeginRun(call);
   } else {
     waiting_calls_.push_back(call);
@@ -166,11 +170,16 @@
   lease_end_ = std::max(
       lease_end_, now + std::chrono::duration_cast<steady_duration>(longest) +
                       kLeaseMargin);
+  // The least that the minion's clock can show now.
   const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(
-      now - clock_read_at_.value_or(now));
+      (1 - kMinionClockError) * (now - clock_read_at_.value_or(now)));
   return clock_read_ + since + lease;
 }
 
+bool leased_minion::IsClockCurrent() const {
+  return clock_read_at_ && time_.Now() - *clock_read_at_ <= kMaxClockAge;
+}
+
 void leased_minion::SendStart(std::uint64_t id) {
   leased_run& run = runs_.at(id);
   const std::chrono::milliseconds lease = LeaseLimit();
--- a/src/jayrill/agent/leased_minion.h
+++ b/src/jayrill/agent/leased_minion.h
@@ -157,6 +157,9 @@
   void CheckPause();
   /// Raises the fencing token after the minion has refused it or restarted.
   void RaiseToken();
+  /// \returns true when the last reading of the minion's clock is recent enough
+  /// to compute the end of a lease from it.
+  bool IsClockCurrent() const;
   run_map::iterator FindRunOfTask(const run_name& task);
   /// \returns true when \p run must end with its lease if nothing else ends it.
   bool BoundsLease(const leased_run& run) const;
--- a/tests/unit/lease_bound_test.cc
+++ b/tests/unit/lease_bound_test.cc
@@ -42,9 +42,11 @@
     timers.RunFor(milliseconds(50));
   }
 
-  /// Starts \p task, for which an entry waits at present.
+  /// Starts \p task, which an entry has placed \p age ago.
   /// \returns the guard of the run.
-  run_guard_ptr Start(std::size_t agent, std::uint32_t task) {
+  run_guard_ptr Start(std::size_t agent,
+                      std::uint32_t task,
+                      milliseconds age = milliseconds(0)) {
     task_call call;
     call.id = ++last_call;
     call.order.job_name = "5c0e7a21d94b36f8";
@@ -52,7 +54,7 @@
     call.order.payload = std::to_string(call.id);
     call.released = time.Now();
     call.deadline = time.Now() + std::chrono::minutes(5);
-    call.guard = run_guard_ptr(new run_guard(time.Now()));
+    call.guard = run_guard_ptr(new run_guard(time.Now() - age));
     agents[agent]->Run(call);
     return call.guard;
   }
@@ -165,6 +167,46 @@
                                                         false}),
                          [](const auto& tested) { return tested.param.name; });
 
+struct idle_case {
+  const char* name;
+  milliseconds idle;  ///< Time without calls before the start.
+  milliseconds age;   ///< Of the start when the agent admits it.
+};
+
+void PrintTo(const idle_case& param, std::ostream* out) {
+  *out << param.name;
+}
+
+class idle_agent_test : public testing::TestWithParam<idle_case> {};
+
+// Guards against a lease that is too long after a time without calls: its end
+// was computed from a reading of the minion's clock, which is 2 % slow, as old
+// as that time. The entry and the agent fail right after the start.
+TEST_P(idle_agent_test, TheRunEndsBeforeTheJobIsSubmittedAgain) {
+  lease_rig rig;
+  rig.timers.RunFor(GetParam().idle);
+  const steady_time placed_at = rig.time.Now() - GetParam().age;
+  rig.Start(0, 1, GetParam().age);
+  rig.timers.RunFor(milliseconds(20));
+  ASSERT_TRUE(rig.monitor.HasBegun("1"));
+  rig.agents[0].reset();
+  rig.timers.RunFor(std::chrono::duration_cast<milliseconds>(
+      placed_at + kRepeatAfter - rig.time.Now()));
+  rig.Start(1, 1);
+  rig.timers.RunFor(milliseconds(500));
+  EXPECT_EQ(rig.monitor.overlaps(), 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Cases,
+    idle_agent_test,
+    testing::Values(
+        idle_case{"no_time", milliseconds(0), milliseconds(600)},
+        idle_case{"ten_seconds", milliseconds(10'000), milliseconds(600)},
+        idle_case{"a_minute", milliseconds(60'000), milliseconds(600)},
+        idle_case{"an_hour", milliseconds(3'600'000), milliseconds(300)}),
+    [](const auto& tested) { return tested.param.name; });
+
 // Guards against runs that lose their lease although their entry goes on
 // waiting for them.
 TEST(lease_bound_test, ARunLastsWhileItsEntryWaits) {
