Fence renewals and starts that had no answer

What callers may see: a run that outlives its agent by seconds and works beside the next run of its task.

Cause: a start without an answer is stopped and so fenced; a renewal without one was not. Where the time of a late renewal counts from its arrival, renewals of before the death of an agent extend the lease for seconds. The class is a call without an answer that nothing fences.

Change: after a call without an answer all further calls carry a higher token. The minion refuses the late one as soon as it has carried out any of them, and a run whose lease was extended by none of them has ended before the late one comes. A refusal of a token that was raised since raises it no further. Runs that no call waits for are logged.

The stand-in of the minion gave each renewal a whole lease from its arrival, also those in time, which no minion does that knows the deadline; now only a late one counts from its arrival and is as long as it was meant.

--- a/src/jayrill/agent/leased_minion.cc
+++ b/src/jayrill/agent/leased_minion.cc
@@ -194,17 +194,20 @@
   ++run.order_tries;
   control_.Start(
       {run.name, run.call.order.payload, token_, ExtendLease(lease)},
-      guard_.Wrap([this, id, attempt = run.name.attempt](order_answer answer) {
-        OnStartAnswer(id, attempt, answer);
-      }));
+      guard_.Wrap(
+          [this, id, sent = sent_start{run.name.attempt, token_}](
+              order_answer answer) { OnStartAnswer(id, sent, answer); }));
 }
 
 void leased_minion::OnStartAnswer(std::uint64_t id,
-                                  std::uint32_t attempt,
+                                  const sent_start& sent,
                                   order_answer answer) {
   CheckPause();
+  if (answer == order_answer::kLost) {
+    FenceOpenCall(sent.token);
+  }
   const auto found = runs_.find(id);
-  if (found == runs_.end() || found->second.name.attempt != attempt) {
+  if (found == runs_.end() || found->second.name.attempt != sent.attempt) {
     return;
   }
   leased_run& run = found->second;
@@ -237,7 +240,7 @@
     run.name.attempt = run.name.attempt * 2 + 1;
     SendStart(id);
   } else if (answer == order_answer::kFenced && can_try_again) {
-    RaiseToken();
+    OnTokenRefused(sent.token);
     SendStart(id);
   } else if (answer == order_answer::kExpired && can_try_again) {
     // The estimate of the minion's clock is off; read it again first.
@@ -286,12 +289,16 @@
 void leased_minion::SendStop(std::uint64_t id) {
   leased_run& run = runs_.at(id);
   ++run.stops_in_flight;
-  control_.Stop(run.name, token_, guard_.Wrap([this, id](order_answer answer) {
-    OnStopAnswer(id, answer);
-  }));
+  control_.Stop(
+      run.name, token_,
+      guard_.Wrap([this, id, sent_token = token_](order_answer answer) {
+        OnStopAnswer(id, sent_token, answer);
+      }));
 }
 
-void leased_minion::OnStopAnswer(std::uint64_t id, order_answer answer) {
+void leased_minion::OnStopAnswer(std::uint64_t id,
+                                 std::uint64_t sent_token,
+                                 order_answer answer) {
   const auto found = runs_.find(id);
   if (found == runs_.end()) {
     return;
@@ -307,19 +314,24 @@
     return;
   }
   if (answer == order_answer::kFenced) {
-    RaiseToken();
+    OnTokenRefused(sent_token);
   }
   // Tick sends the stop again.
 }
 
 void leased_minion::StopUnknownRun(const run_name& run) {
-  VLOG(1) << "lease: stopping a run of an earlier agent task=" << run.job << "."
-          << run.task;
-  control_.Stop(run, token_, guard_.Wrap([this](order_answer answer) {
-    if (answer == order_answer::kFenced) {
-      RaiseToken();
-    }
-  }));
+  if (unknown_run_log_limit_.Allows(time_.Now())) {
+    LOG(WARNING) << "lease: stopping a run that this agent does not know task="
+                 << run.job << "." << run.task << " attempt=" << run.attempt
+                 << " life=" << life_ << " token=" << token_
+                 << unknown_run_log_limit_.TakeLinesLeftOutField();
+  }
+  control_.Stop(run, token_,
+                guard_.Wrap([this, sent_token = token_](order_answer answer) {
+                  if (answer == order_answer::kFenced) {
+                    OnTokenRefused(sent_token);
+                  }
+                }));
 }
 
 void leased_minion::BeginWaitingCalls() {
@@ -394,4 +406,14 @@
   LOG(WARNING) << "lease: raising the fencing token to " << token_;
 }
 
+void leased_minion::OnTokenRefused(std::uint64_t sent_token) {
+  if (sent_token == token_) {
+    RaiseToken();
+  }
+}
+
+void leased_minion::FenceOpenCall(std::uint64_t sent_token) {
+  token_ = std::max(token_, sent_token + 1);
+}
+
 }  // namespace jayrill
--- a/src/jayrill/agent/leased_minion.h
+++ b/src/jayrill/agent/leased_minion.h
@@ -42,11 +42,12 @@
 /// Runs tasks on a minion that takes orders to start and stop runs and ends all
 /// runs when their lease expires.
 ///
-/// An order may be carried out late and its answer may be lost. A call
-/// therefore ends only when the minion has reported the end of its run or
-/// cannot run it any more: a stop was acknowledged and a later report does not
-/// list the run, the lease of a run that was confirmed has expired, or the
-/// minion has restarted.
+/// An order or renewal may be carried out late and its answer may be lost. One
+/// without an answer is fenced: all later calls carry a higher token, so that
+/// it has no effect after one of them. A call ends only when the minion has
+/// reported the end of its run or cannot run it any more: a stop was
+/// acknowledged and a later report does not list the run, the lease of a run
+/// that was confirmed has expired, or the minion has restarted.
 ///
 /// Not thread-safe. All I/O goes through the run_control and the scheduler,
 /// whose callbacks must come on the thread that calls this class.
@@ -102,19 +103,35 @@
   };
   using run_map = std::map<std::uint64_t, leased_run>;
 
+  /// What an order to start a run has carried.
+  struct sent_start {
+    std::uint32_t attempt = 0;
+    std::uint64_t token = 0;
+  };
+  /// What a renewal has carried, and when it was sent.
+  struct sent_renewal {
+    std::uint64_t serial = 0;
+    std::uint64_t token = 0;
+    std::uint64_t acknowledged = 0;
+    steady_time at;
+  };
+
   /// Orders a run of \p call. If an older run of the same task is still there,
   /// stops that one first and lets the call wait.
   void BeginRun(const task_call& call);
   void SendStart(std::uint64_t id);
   void OnStartAnswer(std::uint64_t id,
-                     std::uint32_t attempt,
+                     const sent_start& sent,
                      order_answer answer);
   void StopRun(std::uint64_t id,
                const std::string& reason,
                not_run_reason cause = not_run_reason::kNone);
   void SendStop(std::uint64_t id);
-  void OnStopAnswer(std::uint64_t id, order_answer answer);
-  /// Stops a run that this agent has not ordered, so one of an earlier agent.
+  void OnStopAnswer(std::uint64_t id,
+                    std::uint64_t sent_token,
+                    order_answer answer);
+  /// Stops a run that no call of this agent waits for: one of an earlier agent,
+  /// or one that an earlier life's order has started.
   void StopUnknownRun(const run_name& run);
   /// Requests a report and renews the lease with it. The minion may hold the
   /// answer back for up to \p wait until a run ends.
@@ -122,8 +139,8 @@
   /// Keeps one request in flight while there are runs, waiting calls or
   /// unacknowledged ends.
   void RequestReportIfNeeded();
-  void OnReport(std::uint64_t serial, const result<run_report>& answer);
-  void OnReportFailed(const error& failure);
+  void OnReport(const sent_renewal& sent, const result<run_report>& answer);
+  void OnReportFailed(std::uint64_t sent_token, const error& failure);
   /// Detects a restart of the minion and ends the runs that it has lost.
   /// \returns false when \p report was requested too early to tell what the
   /// restarted minion runs.
@@ -157,6 +174,12 @@
   void CheckPause();
   /// Raises the fencing token after the minion has refused it or restarted.
   void RaiseToken();
+  /// The minion has refused \p sent_token; raises the token unless that has
+  /// happened since the call was sent.
+  void OnTokenRefused(std::uint64_t sent_token);
+  /// A call with \p sent_token had no answer, so it may be carried out later;
+  /// gives all further calls a higher token.
+  void FenceOpenCall(std::uint64_t sent_token);
   /// \returns true when the last reading of the minion's clock is recent enough
   /// to compute the end of a lease from it.
   bool IsClockCurrent() const;
@@ -224,6 +247,7 @@
   bool retry_scheduled_ = false;
   steady_time last_event_at_;  ///< For CheckPause.
   log_limit end_log_limit_;
+  log_limit unknown_run_log_limit_;
   callback_guard guard_;
 };
 
--- a/src/jayrill/agent/leased_minion_reports.cc
+++ b/src/jayrill/agent/leased_minion_reports.cc
@@ -56,53 +56,52 @@
     }
     is_lease_held_back_ = is_held_back;
   }
-  const std::uint64_t serial = ++last_serial_;
-  control_.Renew(
-      request, guard_.Wrap([this, serial, acknowledged = acknowledged_,
-                            requested_at =
-                                time_.Now()](const result<run_report>& answer) {
-        --reports_in_flight_;
-        CheckPause();
-        if (answer) {
-          last_report_requested_at_ = requested_at;
-        }
-        if (answer && answer->life == life_) {
-          acknowledgement_sent_ = std::max(acknowledgement_sent_, acknowledged);
-        }
-        OnReport(serial, answer);
-        RequestReportIfNeeded();
-      }));
+  const sent_renewal sent{++last_serial_, token_, acknowledged_, time_.Now()};
+  control_.Renew(request,
+                 guard_.Wrap([this, sent](const result<run_report>& answer) {
+                   --reports_in_flight_;
+                   CheckPause();
+                   OnReport(sent, answer);
+                   RequestReportIfNeeded();
+                 }));
 }
 
-void leased_minion::OnReport(std::uint64_t serial,
+void leased_minion::OnReport(const sent_renewal& sent,
                              const result<run_report>& answer) {
   if (!answer) {
-    OnReportFailed(answer.error());
+    OnReportFailed(sent.token, answer.error());
     return;
   }
+  last_report_requested_at_ = sent.at;
+  if (answer->life == life_) {
+    acknowledgement_sent_ = std::max(acknowledgement_sent_, sent.acknowledged);
+  }
   failed_reports_ = 0;
   if (minion_->life != 0 && answer->life < minion_->life) {
     return;  // The minion has restarted since it sent this report.
   }
-  if (!AdoptLife(serial, *answer)) {
+  if (!AdoptLife(sent.serial, *answer)) {
     RequestReport({});
     return;
   }
   clock_read_ = answer->clock;
   clock_read_at_ = time_.Now();
   ProcessEndedRuns(*answer);
-  ProcessRunningRuns(serial, *answer);
+  ProcessRunningRuns(sent.serial, *answer);
   first_failure_at_.reset();
   BeginWaitingCalls();
 }
 
-void leased_minion::OnReportFailed(const error& failure) {
+void leased_minion::OnReportFailed(std::uint64_t sent_token,
+                                   const error& failure) {
   ++failed_reports_;
   first_failure_at_ = first_failure_at_.value_or(time_.Now());
   is_unreachable_ = failure.kind == error_kind::kUnavailable;
   if (failure.kind == error_kind::kConflict) {
-    RaiseToken();
+    OnTokenRefused(sent_token);
     failed_reports_ = 0;
+  } else if (!is_unreachable_) {
+    FenceOpenCall(sent_token);
   }
   if (failed_reports_ == kMaxRenewalFailures) {
     LOG(WARNING) << "lease: the minion does not answer runs=" << runs_.size()
--- a/tests/support/minion_standin.h
+++ b/tests/support/minion_standin.h
@@ -64,7 +64,8 @@
   std::uint64_t late_renewals = 0;
   /// Renewals that are carried out and answered with an error.
   std::uint64_t renewal_errors = 0;
-  /// Leases count from the arrival of a renewal, not up to the time it names.
+  /// The lease of a late renewal counts from its arrival: it is as long then as
+  /// it would have been in time.
   bool leases_from_arrival = false;
   std::size_t ends_per_report = 500;
 
@@ -150,7 +151,12 @@
       return;
     }
     if (!reachable_ || random_.Below(100) < faults_.late_renewals) {
-      ApplyLate([this, request] { ApplyRenewal(request); });
+      ApplyLate([this, late = request, sent = Clock(), life = life_]() mutable {
+        if (faults_.leases_from_arrival && late.lease_until && life == life_) {
+          *late.lease_until += Clock() - sent;
+        }
+        ApplyRenewal(late);
+      });
       timers_.After(kAnswerTimeout, [done] { done(NoAnswer()); });
       return;
     }
@@ -294,8 +300,7 @@
       return end.sequence <= request.acknowledged;
     });
     if (request.lease_until) {
-      ExtendLease(faults_.leases_from_arrival ? Clock() + kMaxLease
-                                              : *request.lease_until);
+      ExtendLease(*request.lease_until);
     }
     return true;
   }
--- a/tests/unit/lease_bound_test.cc
+++ b/tests/unit/lease_bound_test.cc
@@ -207,6 +207,57 @@
         idle_case{"an_hour", milliseconds(3'600'000), milliseconds(300)}),
     [](const auto& tested) { return tested.param.name; });
 
+struct late_renewals_case {
+  const char* name;
+  /// Share of the renewals that get no answer and are carried out seconds
+  /// later, in percent.
+  std::uint64_t late_renewals;
+  std::uint64_t late_orders;
+};
+
+void PrintTo(const late_renewals_case& param, std::ostream* out) {
+  *out << param.name;
+}
+
+class late_renewals_test : public testing::TestWithParam<late_renewals_case> {};
+
+// Guards against a run that outlives its agent because renewals without an
+// answer are carried out seconds later, one after the other, and each extends
+// the lease from its arrival.
+TEST_P(late_renewals_test, TheRunEndsBeforeTheJobIsSubmittedAgain) {
+  lease_rig rig;
+  rig.minions[0]->SetFaults({.late_orders = GetParam().late_orders,
+                             .hangs = 100,
+                             .late_renewals = GetParam().late_renewals,
+                             .leases_from_arrival = true});
+  std::vector<run_guard_ptr> guards;
+  for (int i = 0; i < 120; ++i) {
+    if (i % 10 == 0) {
+      guards.push_back(rig.Start(0, static_cast<std::uint32_t>(i)));
+    }
+    for (const run_guard_ptr& guard : guards) {
+      guard->Extend(rig.time.Now());
+    }
+    rig.timers.RunFor(milliseconds(100));
+  }
+  rig.agents[0].reset();
+  rig.timers.RunFor(kRepeatAfter);
+  for (int i = 0; i < 120; i += 10) {
+    rig.Start(1, static_cast<std::uint32_t>(i));
+  }
+  rig.timers.RunFor(milliseconds(500));
+  EXPECT_EQ(rig.monitor.overlaps(), 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases,
+                         late_renewals_test,
+                         testing::Values(late_renewals_case{"few", 10, 0},
+                                         late_renewals_case{"half", 50, 0},
+                                         late_renewals_case{"most", 80, 0},
+                                         late_renewals_case{
+                                             "beside_late_orders", 50, 50}),
+                         [](const auto& tested) { return tested.param.name; });
+
 // Guards against runs that lose their lease although their entry goes on
 // waiting for them.
 TEST(lease_bound_test, ARunLastsWhileItsEntryWaits) {
