Send a stop again when a later report lists the run

Cause, by reading: a stop that the life of the minion before had acknowledged was not sent again when the next life listed the run, which then worked on with a lease that nothing bounded, since an acknowledged stop lifts the bound.

Change: a report that was requested after the acknowledgement and lists the run once the time of a stop has passed takes the acknowledgement back.

stopping_run_test.AStopIsSentAgainWhenTheNextLifeListsTheRun failed before.

--- a/src/jayrill/agent/leased_minion.h
+++ b/src/jayrill/agent/leased_minion.h
@@ -148,6 +148,13 @@
   void ProcessEndedRuns(const run_report& report);
   void ProcessRunningRuns(std::uint64_t serial, const run_report& report);
   void CheckProgress(std::uint64_t id, std::uint32_t percent);
+  /// Lets the stop of \p run be sent again when the report \p serial lists the
+  /// run although it should have ended: the stop was acknowledged by an earlier
+  /// life of the minion.
+  void ReopenStop(leased_run& run, std::uint64_t serial);
+  /// \returns true when the report \p serial was requested after the stop of
+  /// \p run was acknowledged, and the run has had the time to end.
+  bool IsEndDue(const leased_run& run, std::uint64_t serial) const;
   /// Handles a run of this agent that the report \p serial does not list.
   void OnRunNotListed(std::uint64_t serial, std::uint64_t id);
   /// Ends a call. \p answer is that of the minion to the order to start it,
--- a/src/jayrill/agent/leased_minion_reports.cc
+++ b/src/jayrill/agent/leased_minion_reports.cc
@@ -207,6 +207,7 @@
       found->second.state = run_state::kRunning;
       found->second.progress_at = time_.Now();
     }
+    ReopenStop(found->second, serial);
     CheckProgress(found->first, active.percent);
   }
   std::vector<std::uint64_t> missing;
@@ -248,13 +249,22 @@
   }
 }
 
+bool leased_minion::IsEndDue(const leased_run& run,
+                             std::uint64_t serial) const {
+  return run.state == run_state::kStopping && run.last_report_before_stop &&
+         serial > *run.last_report_before_stop &&
+         time_.Now() - run.stop_acknowledged_at > settings_.stop_time;
+}
+
+void leased_minion::ReopenStop(leased_run& run, std::uint64_t serial) {
+  if (IsEndDue(run, serial)) {
+    run.last_report_before_stop.reset();
+  }
+}
+
 void leased_minion::OnRunNotListed(std::uint64_t serial, std::uint64_t id) {
   leased_run& run = runs_.at(id);
-  const bool is_fenced =
-      run.state == run_state::kStopping && run.last_report_before_stop &&
-      serial > *run.last_report_before_stop &&
-      time_.Now() - run.stop_acknowledged_at > settings_.stop_time;
-  if (is_fenced) {
+  if (IsEndDue(run, serial)) {
     // The order to start it was accepted or has no answer. Another request may
     // have acknowledged the end of the run, and an order on its way survives a
     // crash of the minion, so this does not prove that it has not run.
--- a/tests/unit/stopping_run_test.cc
+++ b/tests/unit/stopping_run_test.cc
@@ -97,5 +97,79 @@
   EXPECT_GE(*minion.started_at, *minion.old_run_ends_at());
 }
 
+/// A minion that acknowledges the first stop and crashes. Its next life carries
+/// out the order to start the run once more, before it has seen a token.
+class minion_that_runs_again final : public run_control {
+ public:
+  explicit minion_that_runs_again(manual_scheduler& timers) : timers_(timers) {}
+
+  void SetMinion(const announcement& /*minion*/) override {}
+
+  void Start(const run_order& order,
+             std::function<void(order_answer)> done) override {
+    run_ = order.run;
+    Answer([done] { done(order_answer::kAccepted); });
+  }
+
+  void Stop(const run_name& /*run*/,
+            std::uint64_t /*fencing_token*/,
+            std::function<void(order_answer)> done) override {
+    if (life_ == 1) {
+      ++life_;
+    } else {
+      run_.reset();
+    }
+    Answer([done] { done(order_answer::kAccepted); });
+  }
+
+  void Renew(const renewal& /*request*/,
+             std::function<void(result<run_report>)> done) override {
+    run_report report;
+    report.life = life_;
+    report.clock = milliseconds(1000);
+    if (run_) {
+      report.running.push_back({*run_, 10});
+    }
+    timers_.After(milliseconds(10), [done, report] { done(report); });
+  }
+
+  bool runs() const { return run_.has_value(); }
+
+ private:
+  void Answer(std::function<void()> done) {
+    timers_.After(milliseconds(2), std::move(done));
+  }
+
+  manual_scheduler& timers_;
+  std::uint64_t life_ = 1;
+  std::optional<run_name> run_;
+};
+
+// Guards against a stopped run that works on, because its stop was acknowledged
+// by the life of the minion before the one that lists the run.
+TEST(stopping_run_test, AStopIsSentAgainWhenTheNextLifeListsTheRun) {
+  manual_clock time;
+  manual_scheduler timers(time);
+  minion_that_runs_again minion(timers);
+  leased_minion agent(
+      lease_settings{.stall_limit = std::chrono::minutes(1)}, time, timers,
+      minion, {[](std::uint64_t, const task_result&) {}, [](std::uint64_t) {}});
+  announcement announced;
+  announced.life = 1;
+  agent.OnAnnounced(announced);
+  timers.RunFor(milliseconds(50));
+  task_call call;
+  call.id = 1;
+  call.order.job_name = "again";
+  call.released = time.Now();
+  call.deadline = time.Now() + std::chrono::seconds(60);
+  agent.Run(call);
+  timers.RunFor(milliseconds(50));
+  ASSERT_TRUE(minion.runs());
+  agent.Stop(call.id);
+  timers.RunFor(milliseconds(600));
+  EXPECT_FALSE(minion.runs());
+}
+
 }  // namespace
 }  // namespace jayrill
