Ignore a report that a newer one has overtaken

No minion had restarted.

Cause: two reports are in flight, and answers on different connections may overtake each other. The older one lists a run whose end the newer one has told, so the run counts as one of an earlier agent: it is stopped, and the lease of all runs is held back until the next report.

Change: a report whose clock is before that of the last one is ignored.

report_order_test failed before.

--- a/src/jayrill/agent/leased_minion_reports.cc
+++ b/src/jayrill/agent/leased_minion_reports.cc
@@ -84,6 +84,9 @@
     RequestReport({});
     return;
   }
+  if (clock_read_at_ && answer->clock < clock_read_) {
+    return;  // A newer report has overtaken it.
+  }
   clock_read_ = answer->clock;
   clock_read_at_ = time_.Now();
   ProcessEndedRuns(*answer);
--- /dev/null
+++ b/tests/unit/report_order_test.cc
@@ -0,0 +1,93 @@
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <optional>
+#include <vector>
+
+#include "jayrill/agent/leased_minion.h"
+#include "manual_scheduler.h"
+
+namespace jayrill {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A minion that answers requests for reports only when the test says so. A
+/// stop is acknowledged at once.
+class minion_with_held_reports final : public run_control {
+ public:
+  void SetMinion(const announcement& /*minion*/) override {}
+
+  void Start(const run_order& order,
+             std::function<void(order_answer)> done) override {
+    run = order.run;
+    done(order_answer::kAccepted);
+  }
+
+  void Stop(const run_name& /*run*/,
+            std::uint64_t /*fencing_token*/,
+            std::function<void(order_answer)> done) override {
+    ++stops;
+    done(order_answer::kAccepted);
+  }
+
+  void Renew(const renewal& request,
+             std::function<void(result<run_report>)> done) override {
+    requests.push_back(request);
+    answers.push_back(std::move(done));
+  }
+
+  std::optional<run_name> run;
+  int stops = 0;
+  std::vector<renewal> requests;
+  std::vector<std::function<void(result<run_report>)>> answers;
+};
+
+// Guards against a run that counts as unknown and is stopped, and a lease that
+// is held back for all runs, because a report that lists the run arrives after
+// the newer one that lists its end.
+TEST(report_order_test, AReportThatWasOvertakenIsIgnored) {
+  manual_clock time;
+  manual_scheduler timers(time);
+  minion_with_held_reports minion;
+  std::vector<task_result> results;
+  leased_minion agent(lease_settings{.stall_limit = std::chrono::minutes(1)},
+                      time, timers, minion,
+                      {[&results](std::uint64_t, const task_result& outcome) {
+                         results.push_back(outcome);
+                       },
+                       [](std::uint64_t) {}});
+  announcement announced;
+  announced.life = 1;
+  agent.OnAnnounced(announced);
+  run_report empty;
+  empty.life = 1;
+  empty.clock = milliseconds(1000);
+  minion.answers.at(0)(empty);
+  task_call call;
+  call.order.job_name = "job";
+  call.released = time.Now();
+  call.deadline = time.Now() + std::chrono::seconds(60);
+  for (call.id = 1; call.id <= 2; ++call.id) {
+    call.order.task_index = static_cast<std::uint32_t>(call.id);
+    agent.Run(call);
+  }
+  const run_name second_run = *minion.run;
+  agent.Stop(1);  // Its acknowledgement requests a second report.
+  ASSERT_EQ(minion.answers.size(), 3U);
+  const int stops_before = minion.stops;
+
+  run_report newer = empty;
+  newer.clock = milliseconds(1010);
+  newer.ended.push_back({1, second_run, run_end::kDone});
+  minion.answers.at(2)(newer);
+  ASSERT_EQ(results.size(), 1U);
+  run_report older = empty;
+  older.clock = milliseconds(1005);
+  older.running.push_back({second_run, 50});
+  minion.answers.at(1)(older);
+  EXPECT_EQ(minion.stops, stops_before);
+}
+
+}  // namespace
+}  // namespace jayrill
