Let three disruptions of ten kinds overlap in the model

The model of two disruptions drew six kinds. It now has also calls of all kinds carried out late, links that are cut one way, agents without power and minions that crash behind a cut, and plays of three at a time. A result that an earlier connection brings is dropped, as the product does; the model took it for one of the new connection.

JAYRILL_SEEDS sets the number of seeds, 400 if unset.

--- a/tests/unit/simulated_agent.h
+++ b/tests/unit/simulated_agent.h
@@ -116,9 +116,12 @@
                },
                [this](std::uint64_t call) { core_.OnSlotFree(call); }}) {
     core_.OfferConfig(Config(5));
-    announcement announced = minion.Announcement();
-    core_.Announce(announced);
-    runs_.OnAnnounced(announced);
+    OnHeartbeat(minion.Announcement());
+  }
+
+  void OnHeartbeat(const announcement& minion) {
+    core_.Announce(minion);
+    runs_.OnAnnounced(minion);
   }
 
   agent_core& core() { return core_; }
--- a/tests/unit/two_disruptions_test.cc
+++ b/tests/unit/two_disruptions_test.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <array>
+#include <cstdlib>
 #include <functional>
 #include <map>
 #include <memory>
@@ -18,9 +19,15 @@
 constexpr milliseconds kCallerDeadline{1500};
 constexpr std::size_t kCount = 2;  ///< Of the entries, and of the agents.
 
-/// What is drawn besides the two disruptions that every play has.
+/// Disruptions of the kinds that every play may have.
+constexpr std::uint64_t kBasicKinds = 6;
+
+/// What is drawn, and how often.
 struct play_options {
   const char* name;
+  int disruptions = 2;
+  /// The first so many rows of kDisruptions may be drawn.
+  std::uint64_t kinds = kBasicKinds;
   /// Callers also leave before their deadline, and the first disruption is that
   /// the thread of an entry for callers stands still by itself.
   bool callers_are_missed = false;
@@ -48,13 +55,14 @@
     timers_.RunFor(milliseconds(300));
   }
 
-  /// Two disruptions that begin within 1.5 s, while jobs are at work.
+  /// Disruptions that begin within 1.5 s, while jobs are at work.
   void Play() {
     for (std::uint32_t job = 0; job < 6; ++job) {
       timers_.After(milliseconds(random_.Below(1200)),
                     [this, job] { Submit(job, random_.Below(kCount)); });
     }
-    const int drawn = options_.callers_are_missed ? 1 : 2;
+    const int drawn =
+        options_.disruptions - (options_.callers_are_missed ? 1 : 0);
     for (int i = 0; i < drawn; ++i) {
       timers_.After(milliseconds(random_.Below(1500)), [this] { Disrupt(); });
     }
@@ -85,11 +93,13 @@
   /// The connection of an entry with an agent.
   struct link {
     connection_epoch epoch;
+    std::uint64_t connects = 0;
     std::uint64_t starts = 0;
     steady_time agent_time;   ///< Sending of the newest report.
     steady_time received_at;  ///< Its arrival at the entry.
-    steady_time cut_until;
-    std::array<steady_time, 2> last_arrival;  ///< To the agent, to the entry.
+    /// By direction: to the agent, to the entry.
+    std::array<steady_time, 2> cut_until;
+    std::array<steady_time, 2> last_arrival;
   };
 
   incarnation IdOf(std::size_t e) const {
@@ -109,6 +119,7 @@
     link& connection = links_[e][a];
     connection.epoch = agents_[a]->core().Connect(IdOf(e)).epoch;
     agents_[a]->core().Welcome(IdOf(e), false);
+    ++connection.connects;
     connection.starts = 0;
     connection.agent_time = connection.received_at = time_.Now();
   }
@@ -120,8 +131,9 @@
             simulated_process& receiver,
             std::function<void()> message) {
     link& connection = links_[e][a];
-    steady_time& last = connection.last_arrival[to_entry ? 1 : 0];
-    last = std::max({last, connection.cut_until,
+    const std::size_t direction = to_entry ? 1 : 0;
+    steady_time& last = connection.last_arrival[direction];
+    last = std::max({last, connection.cut_until[direction],
                      time_.Now() + milliseconds(1 + random_.Below(4))});
     timers_.After(std::chrono::ceil<milliseconds>(last - time_.Now()),
                   receiver.Wrap(std::move(message)));
@@ -160,7 +172,11 @@
       results.push_back(*item);
     }
     Send(e, a, true, entries_[e].self,
-         [this, e, a, results, sent = time_.Now(), id = IdOf(e)] {
+         [this, e, a, results, sent = time_.Now(), id = IdOf(e),
+          connects = links_[e][a].connects] {
+           if (links_[e][a].connects != connects) {
+             return;  // From an earlier connection.
+           }
            links_[e][a].agent_time = sent;
            links_[e][a].received_at = time_.Now();
            for (const task_result& item : results) {
@@ -263,32 +279,74 @@
   void Disrupt() {
     const std::size_t i = random_.Below(kCount);
     const milliseconds length(300 + random_.Below(3700));
-    switch (random_.Below(6)) {
-      case 0:
-        KillEntry(i, length);
-        break;
-      case 1:
-        entries_[i].self.Freeze();
-        entries_[i].callers.Freeze();
-        timers_.After(length, [this, i, length] { ThawEntry(i, length); });
-        break;
-      case 2:
-        KillAgent(i);
-        break;
-      case 3:
-        hosts_[i].Freeze();
-        timers_.After(length, [this, i] { hosts_[i].Thaw(); });
-        break;
-      case 4:
-        for (link& connection : links_[random_.Below(kCount)]) {
-          connection.cut_until = time_.Now() + length;
-        }
-        break;
-      default:
-        MakeOrdersLate(i, length);
+    const auto kind = static_cast<std::size_t>(random_.Below(options_.kinds));
+    (this->*kDisruptions.at(kind))(i, length);
+  }
+
+  void FreezeEntry(std::size_t e, milliseconds length) {
+    entries_[e].self.Freeze();
+    entries_[e].callers.Freeze();
+    timers_.After(length, [this, e, length] { ThawEntry(e, length); });
+  }
+
+  void FreezeAgent(std::size_t a, milliseconds length) {
+    hosts_[a].Freeze();
+    timers_.After(length, [this, a] { hosts_[a].Thaw(); });
+  }
+
+  void CutLinks(std::size_t e, milliseconds length) {
+    for (link& connection : links_[e]) {
+      connection.cut_until.fill(time_.Now() + length);
+    }
+  }
+
+  void CutLinksOneWay(std::size_t e, milliseconds length) {
+    const std::size_t direction = random_.Below(2);
+    for (link& connection : links_[e]) {
+      connection.cut_until.at(direction) = time_.Now() + length;
     }
   }
 
+  /// The agent is dark for a while: nobody fences or stops anything meanwhile.
+  void PowerOffAgent(std::size_t a, milliseconds length) {
+    hosts_[a].Kill();
+    hosts_[a].Freeze();
+    for (std::size_t e = 0; e < kCount; ++e) {
+      Break(e, a);
+    }
+    timers_.After(length, [this, a] {
+      hosts_[a].Kill();
+      StartAgent(a);
+    });
+  }
+
+  /// The minion is silent, crashes meanwhile and is back as another life, of
+  /// which its agent hears a heartbeat later.
+  void CrashMinion(std::size_t a, milliseconds length) {
+    minions_[a]->SetReachable(false);
+    timers_.After(length, [this, a] {
+      minions_[a]->Crash();
+      minions_[a]->SetReachable(true);
+      timers_.After(milliseconds(random_.Below(1500)),
+                    hosts_[a].Wrap([this, a] {
+                      agents_[a]->OnHeartbeat(minions_[a]->Announcement());
+                    }));
+    });
+  }
+
+  /// Calls of all kinds are carried out late, and the lease of a late renewal
+  /// runs from its arrival.
+  void MakeCallsLate(std::size_t i, milliseconds length) {
+    const std::uint64_t share = 30 + random_.Below(61);
+    minions_[i]->SetFaults({.late_orders = share,
+                            .hangs = 70,
+                            .late_renewals = share,
+                            .leases_from_arrival = true});
+    timers_.After(length, [this, i] {
+      minions_[i]->SetFaults({.hangs = 70, .leases_from_arrival = true});
+    });
+  }
+
   /// The thread of entry \p e for callers stands still, while the one for
   /// agents goes on.
   void MissCallers(std::size_t e) {
@@ -333,7 +391,7 @@
                   [this, e] { entries_[e].callers.Thaw(); });
   }
 
-  void KillAgent(std::size_t a) {
+  void KillAgent(std::size_t a, milliseconds /*length*/) {
     hosts_[a].Kill();
     for (std::size_t e = 0; e < kCount; ++e) {
       Break(e, a);
@@ -341,6 +399,15 @@
     StartAgent(a);
   }
 
+  using disruption = void (deployment::*)(std::size_t, milliseconds);
+  static constexpr std::array<disruption, 10> kDisruptions{
+      &deployment::KillEntry,     &deployment::FreezeEntry,
+      &deployment::KillAgent,     &deployment::FreezeAgent,
+      &deployment::CutLinks,      &deployment::MakeOrdersLate,
+      &deployment::MakeCallsLate, &deployment::CutLinksOneWay,
+      &deployment::PowerOffAgent, &deployment::CrashMinion,
+  };
+
   play_options options_;
   random_source random_;
   manual_clock time_;
@@ -354,27 +421,39 @@
   int last_submission_ = 0;
 };
 
+/// \returns how many seeds each play has; JAYRILL_SEEDS sets it.
+std::uint64_t SeedCount() {
+  constexpr std::uint64_t kDefault = 400;
+  const char* const count = std::getenv("JAYRILL_SEEDS");
+  return count == nullptr ? kDefault : std::stoull(count);
+}
+
 class two_disruptions_test : public testing::TestWithParam<play_options> {};
 
 // Guards against bounds that hold for each disruption alone and add up to more
 // than the time after which callers send their jobs again: any two of a killed
 // or frozen entry, a killed or frozen agent, a link that is cut, and orders
 // that are carried out late; with callers_missed also against an entry that
-// extends the leases of runs whose callers it has not heard leave.
+// extends the leases of runs whose callers it has not heard leave; with
+// three_disruptions also any of calls of all kinds carried out late, a link cut
+// one way and an agent without power; with three_and_crashes also a minion that
+// crashes behind a cut.
 TEST_P(two_disruptions_test, NoTaskRunsTwiceAtTheSameTime) {
-  constexpr std::uint64_t kSeeds = 400;
-  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+  for (std::uint64_t seed = 1; seed <= SeedCount(); ++seed) {
     deployment site(seed, GetParam());
     site.Play();
     EXPECT_EQ(site.overlaps(), 0) << "seed " << seed;
   }
 }
 
-INSTANTIATE_TEST_SUITE_P(plays,
-                         two_disruptions_test,
-                         testing::Values(play_options{"callers_heard"},
-                                         play_options{"callers_missed", true}),
-                         [](const auto& play) { return play.param.name; });
+INSTANTIATE_TEST_SUITE_P(
+    plays,
+    two_disruptions_test,
+    testing::Values(play_options{"callers_heard"},
+                    play_options{"callers_missed", 2, kBasicKinds, true},
+                    play_options{"three_disruptions", 3, 9},
+                    play_options{"three_and_crashes", 3, 10}),
+    [](const auto& play) { return play.param.name; });
 
 }  // namespace
 }  // namespace jayrill
