Test that calls of an earlier life are refused where names differ

PROTOCOL: X-Target-Instance names the intended incarnation, any other one answers 421; but a minion may start again under the id that it had. Nothing is left out: the old test is the half same_name.

--- a/tests/platform/minion_calls_test.cc
+++ b/tests/platform/minion_calls_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <optional>
 #include <string>
 
 #include "order_server.h"
@@ -58,5 +59,49 @@
                                 order_answer::kLost}),
     [](const auto& param) { return param.param.name; });
 
+/// Sends one call of a kind and counts the answers.
+using send_function = void (*)(minion_calls& calls, int& answers);
+
+struct call_case {
+  std::string name;
+  send_function send;
+};
+
+class call_target_test : public testing::TestWithParam<call_case> {};
+
+// Guards against a call that the next life of the minion carries out: a minion
+// answers 421 to a call that names another instance.
+TEST_P(call_target_test, EachCallNamesItsInstance) {
+  const order_server server("200 OK", "{}");
+  minion_calls calls;
+  calls.SetMinion(server.Minion());
+  int answers = 0;
+  GetParam().send(calls, answers);
+  WaitFor([&] { return answers > 0; });
+  EXPECT_TRUE(server.last_header().contains("X-Target-Instance: i-7f3a91c2"));
+}
+
+const run_name kRun{"5c0e7a21d94b36f8", 0, 1};
+
+INSTANTIATE_TEST_SUITE_P(
+    calls,
+    call_target_test,
+    testing::Values(
+        call_case{"start",
+                  [](minion_calls& calls, int& answers) {
+                    calls.Start({kRun, "spec", 7, minion_time(1000)},
+                                [&](order_answer) { ++answers; });
+                  }},
+        call_case{"stop",
+                  [](minion_calls& calls, int& answers) {
+                    calls.Stop(kRun, 7, [&](order_answer) { ++answers; });
+                  }},
+        call_case{"renewal",
+                  [](minion_calls& calls, int& answers) {
+                    calls.Renew({7, std::nullopt, 0, {}},
+                                [&](const result<run_report>&) { ++answers; });
+                  }}),
+    [](const auto& param) { return param.param.name; });
+
 }  // namespace
 }  // namespace jayrill::platform
--- a/tests/platform/order_server.h
+++ b/tests/platform/order_server.h
@@ -29,6 +29,7 @@
 
   announcement Minion() const {
     announcement minion;
+    minion.instance = "i-7f3a91c2";
     minion.host = "127.0.0.1";
     minion.port = server_.serverPort();
     return minion;
@@ -37,6 +38,9 @@
   /// \returns the body of the last order.
   const QByteArray& last_order() const { return last_order_; }
 
+  /// \returns the request line and the headers of the last order.
+  const QByteArray& last_header() const { return last_header_; }
+
  private:
   void Answer(QTcpSocket& connection) {
     received_ += connection.readAll();
@@ -45,6 +49,7 @@
     if (header_size < 4 || !received_.endsWith('}')) {
       return;
     }
+    last_header_ = received_.left(header_size);
     last_order_ = received_.mid(header_size);
     received_.clear();
     connection.write(QByteArray::fromStdString(answer_));
@@ -54,6 +59,7 @@
   QTcpServer server_;
   QByteArray received_;
   QByteArray last_order_;
+  QByteArray last_header_;
 };
 
 /// Sends an order with \p payload to \p server.
--- a/tests/support/minion_standin.h
+++ b/tests/support/minion_standin.h
@@ -90,9 +90,15 @@
     EndDueRuns();
   }
 
-  /// Loses all runs and all state, and restarts under the same name with a
-  /// higher life.
-  void Crash() {
+  /// Which name a minion has after a restart.
+  enum class restart_name { kSame, kNew };
+
+  /// Loses all runs and all state, and restarts with a higher life. Under a new
+  /// name it refuses calls that were sent to an earlier one.
+  void Crash(restart_name next = restart_name::kSame) {
+    if (next == restart_name::kNew) {
+      ++name_;
+    }
     for (const auto& [name, run] : runs_) {
       monitor_.End(name);
     }
@@ -109,7 +115,7 @@
   announcement Announcement() const {
     announcement minion;
     minion.service = "quotes";
-    minion.instance = "i1";
+    minion.instance = "i" + std::to_string(name_);
     minion.host = "127.0.0.1";
     minion.port = 1;
     minion.slots = 8;
@@ -127,7 +133,9 @@
   /// While it refuses connections, as after its end, no call is carried out.
   void SetRefusesConnections(bool refuses) { refuses_connections_ = refuses; }
 
-  void SetMinion(const announcement& /*minion*/) override {}
+  void SetMinion(const announcement& minion) override {
+    target_ = minion.instance;
+  }
 
   void Start(const run_order& order,
              std::function<void(order_answer)> done) override {
@@ -151,7 +159,11 @@
       return;
     }
     if (!reachable_ || random_.Below(100) < faults_.late_renewals) {
-      ApplyLate([this, late = request, sent = Clock(), life = life_]() mutable {
+      ApplyLate([this, late = request, sent = Clock(), life = life_,
+                 target = target_]() mutable {
+        if (!IsAddressed(target)) {
+          return;
+        }
         if (faults_.leases_from_arrival && late.lease_until && life == life_) {
           *late.lease_until += Clock() - sent;
         }
@@ -172,7 +184,11 @@
       timers_.After(kAnswerTimeout, [done] { done(NoAnswer()); });
       return;
     }
-    timers_.After(kRoundTrip, [this, request, done] {
+    timers_.After(kRoundTrip, [this, request, done, target = target_] {
+      if (!IsAddressed(target)) {
+        done(MakeError(error_kind::kUnknownOutcome, "status 421", "ask again"));
+        return;
+      }
       if (!ApplyRenewal(request)) {
         done(MakeError(error_kind::kConflict, "fence", "raise the token"));
         return;
@@ -215,10 +231,19 @@
     }
   }
 
+  /// \returns true when a call that was sent to \p target is meant for the
+  /// present life.
+  bool IsAddressed(const std::string& target) const {
+    return target == Announcement().instance;
+  }
+
   /// Carries an order out and answers it, unless the draw says that it is late
   /// or that its answer is lost.
-  void Deliver(std::function<order_answer()> operation,
+  void Deliver(const std::function<order_answer()>& apply,
                std::function<void(order_answer)> done) {
+    const auto operation = [this, apply, target = target_] {
+      return IsAddressed(target) ? apply() : order_answer::kUnhealthy;
+    };
     if (refuses_connections_) {
       timers_.After(kRoundTrip, [done] { done(order_answer::kUnhealthy); });
       return;
@@ -371,6 +396,8 @@
   bool reachable_ = true;
   bool refuses_connections_ = false;
   std::uint64_t life_ = 1;
+  int name_ = 1;
+  std::string target_ = "i1";  ///< The instance that calls are sent to.
   std::uint64_t token_ = 0;
   std::uint64_t sequence_ = 0;
   minion_time lease_until_{};
--- a/tests/unit/leased_minion_test.cc
+++ b/tests/unit/leased_minion_test.cc
@@ -312,11 +312,22 @@
   EXPECT_EQ(fixture.results[open].outcome, task_outcome::kInterrupted);
 }
 
+struct next_life_case {
+  const char* name;
+  minion_standin::restart_name restart;
+};
+
+void PrintTo(const next_life_case& param, std::ostream* out) {
+  *out << param.name;
+}
+
+class next_life_test : public testing::TestWithParam<next_life_case> {};
+
 // Guards against an order that outlives the life of the minion in which a stop
 // has fenced it, and is carried out in the next life before the agent has sent
 // a higher fencing token. The call has ended by then, and its task may run
 // elsewhere.
-TEST(leased_minion_test, AnOrderOfAnEarlierLifeIsNotCarriedOut) {
+TEST_P(next_life_test, AnOrderOfAnEarlierLifeIsNotCarriedOut) {
   leased_minion_fixture fixture(1, {.late_orders = 100});
   fixture.repeat = false;
   // The clock of the next life is behind the lease that the order names.
@@ -326,11 +337,19 @@
   fixture.minions[0]->SetFaults({});
   fixture.timers.RunFor(milliseconds(500));
   ASSERT_EQ(fixture.results[call].outcome, task_outcome::kInterrupted);
-  fixture.minions[0]->Crash();
+  fixture.minions[0]->Crash(GetParam().restart);
   fixture.timers.RunFor(milliseconds(12'000));
   EXPECT_FALSE(fixture.monitor.HasBegun(std::to_string(call)));
 }
 
+INSTANTIATE_TEST_SUITE_P(
+    names,
+    next_life_test,
+    testing::Values(
+        next_life_case{"new_name", minion_standin::restart_name::kNew},
+        next_life_case{"same_name", minion_standin::restart_name::kSame}),
+    [](const auto& tested) { return tested.param.name; });
+
 // Guards against an agent that refuses all calls after its minion was out of
 // reach for longer than a lease, because nothing asks the minion any more.
 TEST(leased_minion_test, AMinionThatAnswersAgainIsUsedAgain) {
--- a/tests/unit/two_disruptions_test.cc
+++ b/tests/unit/two_disruptions_test.cc
@@ -325,7 +325,7 @@
   void CrashMinion(std::size_t a, milliseconds length) {
     minions_[a]->SetReachable(false);
     timers_.After(length, [this, a] {
-      minions_[a]->Crash();
+      minions_[a]->Crash(minion_standin::restart_name::kNew);
       minions_[a]->SetReachable(true);
       timers_.After(milliseconds(random_.Below(1500)),
                     hosts_[a].Wrap([this, a] {
@@ -437,7 +437,7 @@
 // extends the leases of runs whose callers it has not heard leave; with
 // three_disruptions also any of calls of all kinds carried out late, a link cut
 // one way and an agent without power; with three_and_crashes also a minion that
-// crashes behind a cut.
+// crashes behind a cut and comes back under another name.
 TEST_P(two_disruptions_test, NoTaskRunsTwiceAtTheSameTime) {
   for (std::uint64_t seed = 1; seed <= SeedCount(); ++seed) {
     deployment site(seed, GetParam());
