Let a refused start wait for the report of the next life

The report may overtake the order. It does not list the run, so the call ends as interrupted, and nothing stops or fences the order, which may be carried out seconds later, beside the next run of the task.

Change: while the minion is not synced, a refused start waits for the report like any other call; so did an expired one already.

report_order_test.ARefusedStartWaitsForTheReportOfTheNextLife failed before.

--- a/src/jayrill/agent/leased_minion.cc
+++ b/src/jayrill/agent/leased_minion.cc
@@ -238,17 +238,15 @@
     // The minion does not tell the attempt that it has seen; doubling exceeds
     // it within a few tries.
     run.name.attempt = run.name.attempt * 2 + 1;
-    SendStart(id);
+    SendStartAgain(id);
   } else if (answer == order_answer::kFenced && can_try_again) {
     OnTokenRefused(sent.token);
-    SendStart(id);
+    SendStartAgain(id);
   } else if (answer == order_answer::kExpired && can_try_again) {
     // The estimate of the minion's clock is off; read it again first.
     clock_read_at_.reset();
     synced_ = false;
-    waiting_calls_.push_back(run.call);
-    runs_.erase(found);
-    RequestReport({});
+    SendStartAgain(id);
   } else {
     run.reason = answer == order_answer::kNoRoom ? "the minion has no room"
                                                  : "the minion refuses starts";
@@ -260,6 +258,18 @@
   }
 }
 
+void leased_minion::SendStartAgain(std::uint64_t id) {
+  if (synced_) {
+    SendStart(id);
+    return;
+  }
+  // The report that ends the runs of an earlier life might not list a run that
+  // is ordered now.
+  waiting_calls_.push_back(runs_.at(id).call);
+  runs_.erase(id);
+  RequestReport({});
+}
+
 void leased_minion::Stop(std::uint64_t call) {
   const auto waiting_call =
       std::find_if(waiting_calls_.begin(), waiting_calls_.end(),
--- a/src/jayrill/agent/leased_minion.h
+++ b/src/jayrill/agent/leased_minion.h
@@ -120,6 +120,9 @@
   /// stops that one first and lets the call wait.
   void BeginRun(const task_call& call);
   void SendStart(std::uint64_t id);
+  /// Orders a run whose last order was refused once more, or lets its call wait
+  /// for a report while the minion is not synced.
+  void SendStartAgain(std::uint64_t id);
   void OnStartAnswer(std::uint64_t id,
                      const sent_start& sent,
                      order_answer answer);
--- a/tests/unit/report_order_test.cc
+++ b/tests/unit/report_order_test.cc
@@ -12,8 +12,8 @@
 
 using std::chrono::milliseconds;
 
-/// A minion that answers requests for reports only when the test says so. A
-/// stop is acknowledged at once.
+/// A minion that answers starts and requests for reports only when the test
+/// says so. A stop is acknowledged at once.
 class minion_with_held_reports final : public run_control {
  public:
   void SetMinion(const announcement& /*minion*/) override {}
@@ -21,7 +21,7 @@
   void Start(const run_order& order,
              std::function<void(order_answer)> done) override {
     run = order.run;
-    done(order_answer::kAccepted);
+    starts.push_back(std::move(done));
   }
 
   void Stop(const run_name& /*run*/,
@@ -38,6 +38,7 @@
   }
 
   std::optional<run_name> run;
+  std::vector<std::function<void(order_answer)>> starts;
   int stops = 0;
   std::vector<renewal> requests;
   std::vector<std::function<void(result<run_report>)>> answers;
@@ -71,6 +72,7 @@
   for (call.id = 1; call.id <= 2; ++call.id) {
     call.order.task_index = static_cast<std::uint32_t>(call.id);
     agent.Run(call);
+    minion.starts.back()(order_answer::kAccepted);
   }
   const run_name second_run = *minion.run;
   agent.Stop(1);  // Its acknowledgement requests a second report.
@@ -89,5 +91,38 @@
   EXPECT_EQ(minion.stops, stops_before);
 }
 
+// Guards against a run that begins after its call has ended: it was ordered
+// again while the minion was between two lives, and the report that ends the
+// runs of the earlier life was requested before the order arrived.
+TEST(report_order_test, ARefusedStartWaitsForTheReportOfTheNextLife) {
+  manual_clock time;
+  manual_scheduler timers(time);
+  minion_with_held_reports minion;
+  leased_minion agent(
+      lease_settings{}, time, timers, minion,
+      {[](std::uint64_t, const task_result&) {}, [](std::uint64_t) {}});
+  announcement announced;
+  announced.life = 1;
+  agent.OnAnnounced(announced);
+  run_report empty;
+  empty.life = 1;
+  empty.clock = milliseconds(1000);
+  minion.answers.at(0)(empty);
+  task_call call;
+  call.id = 1;
+  call.order.job_name = "job";
+  call.released = time.Now();
+  call.deadline = time.Now() + std::chrono::seconds(60);
+  agent.Run(call);
+  ASSERT_EQ(minion.starts.size(), 1U);
+  announced.life = 2;
+  agent.OnAnnounced(announced);
+  minion.starts.at(0)(order_answer::kFenced);
+  EXPECT_EQ(minion.starts.size(), 1U);
+  empty.life = 2;
+  minion.answers.back()(empty);
+  EXPECT_EQ(minion.starts.size(), 2U);
+}
+
 }  // namespace
 }  // namespace jayrill
