--- a/tests/soak/soak_minion.cc
+++ b/tests/soak/soak_minion.cc
@@ -110,7 +110,7 @@
     const milliseconds delay(kMinLatenessMs +
                              random_.Below(kMaxLatenessMs - kMinLatenessMs));
     // An order on its way is lost in a crash. That it might survive one is
-    // covered by leased_minion_test.AnOrderOfAnEarlierLifeIsNotCarriedOut.
+    // covered by next_life_test.
     QTimer::singleShot(delay, &tick_timer_, [this, request, life = born_] {
       if (is_up() && life == born_) {
         Apply(request, [](int, const QJsonObject&) {});
