Keep calls whose minion was replaced until their lease has passed

A new life was taken for the end of all runs that its report does not list. That holds for a minion that restarts at its address. One at another address may register while the earlier one drains and works on: its calls ended as interrupted, and the entry, which places interrupted tasks again at once, started them beside the old runs.

Also: a report of an earlier life that arrives after one of the next life took the agent back to the earlier one, and the next report ended calls of the present one. An acknowledgement of a stop by an earlier life counted for the next. The token rose by doubling steps with each life, so that after some lives a successor of the agent began far below it; one step is enough there.

Change: calls on a minion that is followed at another address are stopped there and end when the last lease has passed; reports of earlier lives are ignored; a stop counts for the life that it was sent to.

report_order_test: AReportOfAnEarlierLifeIsIgnored and ARunOfAPredecessorEndsWithItsLease failed before.

--- a/src/jayrill/agent/leased_minion.cc
+++ b/src/jayrill/agent/leased_minion.cc
@@ -65,10 +65,11 @@
 leased_minion::~leased_minion() = default;
 
 void leased_minion::OnAnnounced(const announcement& minion) {
-  const bool has_changed = !minion_ || minion_->instance != minion.instance ||
-                           minion_->life != minion.life ||
-                           minion_->host != minion.host ||
-                           minion_->port != minion.port;
+  const bool has_moved =
+      minion_ && (minion_->host != minion.host || minion_->port != minion.port);
+  const bool has_changed = !minion_ || has_moved ||
+                           minion_->instance != minion.instance ||
+                           minion_->life != minion.life;
   const bool has_restarted = minion_ && (minion_->life != minion.life ||
                                          minion_->instance != minion.instance);
   minion_ = minion;
@@ -80,9 +81,12 @@
     }
     return;
   }
+  if (has_restarted && has_moved) {
+    SetAsideRuns();
+  }
   control_.SetMinion(minion);
   if (has_restarted) {
-    RaiseToken();
+    FenceOpenCall(token_);
     life_ = minion.life;
     last_report_before_life_ = last_serial_;
     acknowledged_ = 0;
@@ -299,15 +303,15 @@
 void leased_minion::SendStop(std::uint64_t id) {
   leased_run& run = runs_.at(id);
   ++run.stops_in_flight;
-  control_.Stop(
-      run.name, token_,
-      guard_.Wrap([this, id, sent_token = token_](order_answer answer) {
-        OnStopAnswer(id, sent_token, answer);
-      }));
+  control_.Stop(run.name, token_,
+                guard_.Wrap([this, id, sent = sent_stop{life_, token_}](
+                                order_answer answer) {
+                  OnStopAnswer(id, sent, answer);
+                }));
 }
 
 void leased_minion::OnStopAnswer(std::uint64_t id,
-                                 std::uint64_t sent_token,
+                                 const sent_stop& sent,
                                  order_answer answer) {
   const auto found = runs_.find(id);
   if (found == runs_.end()) {
@@ -316,7 +320,7 @@
   leased_run& run = found->second;
   --run.stops_in_flight;
   if (answer == order_answer::kAccepted) {
-    if (!run.last_report_before_stop) {
+    if (!run.last_report_before_stop && sent.life == life_) {
       run.last_report_before_stop = last_serial_;
       run.stop_acknowledged_at = time_.Now();
       RequestReport({});
@@ -324,7 +328,7 @@
     return;
   }
   if (answer == order_answer::kFenced) {
-    OnTokenRefused(sent_token);
+    OnTokenRefused(sent.token);
   }
   // Tick sends the stop again.
 }
@@ -344,6 +348,29 @@
                 }));
 }
 
+void leased_minion::SetAsideRuns() {
+  std::vector<std::uint64_t> ids;
+  for (const auto& [id, run] : runs_) {
+    ids.push_back(id);
+  }
+  AssignCrashRoles(ids);
+  // The answers of the old minion are not heard any more, but no order to it
+  // has an effect after the last lease.
+  const steady_time now = time_.Now();
+  const auto delay = std::chrono::ceil<std::chrono::milliseconds>(
+      std::max(lease_end_, now) - now);
+  for (auto& [id, run] : std::exchange(runs_, {})) {
+    control_.Stop(run.name, token_, [](order_answer) {});
+    run.reason = "another minion has taken its place";
+    const task_result outcome = MakeResult(run, task_outcome::kInterrupted);
+    timers_.After(delay, guard_.Wrap([this, run, outcome] {
+      LogEnd(run, outcome, end_proof::kLeasePassed, std::nullopt);
+      listener_.on_result(run.call.id, outcome);
+      listener_.on_slot_free(run.call.id);
+    }));
+  }
+}
+
 void leased_minion::BeginWaitingCalls() {
   if (!synced_ || waiting_calls_.empty()) {
     return;
--- a/src/jayrill/agent/leased_minion.h
+++ b/src/jayrill/agent/leased_minion.h
@@ -42,10 +42,10 @@
 /// Runs tasks on a minion that takes orders to start and stop runs and ends all
 /// runs when their lease expires.
 ///
-/// An order or renewal may be carried out late and its answer may be lost. One
-/// without an answer is fenced: all later calls carry a higher token, so that
-/// it has no effect after one of them. A call ends only when the minion has
-/// reported the end of its run or cannot run it any more: a stop was
+/// A call may be carried out late and its answer may be lost. A start or
+/// renewal without an answer is fenced: all later calls carry a higher token,
+/// so that it has no effect after one of them. A call ends only when the minion
+/// has reported the end of its run or cannot run it any more: a stop was
 /// acknowledged and a later report does not list the run, the lease of a run
 /// that was confirmed has expired, or the minion has restarted.
 ///
@@ -108,6 +108,11 @@
     std::uint32_t attempt = 0;
     std::uint64_t token = 0;
   };
+  /// What a stop has carried, and the life that it was sent to.
+  struct sent_stop {
+    std::uint64_t life = 0;
+    std::uint64_t token = 0;
+  };
   /// What a renewal has carried, and when it was sent.
   struct sent_renewal {
     std::uint64_t serial = 0;
@@ -131,8 +136,11 @@
                not_run_reason cause = not_run_reason::kNone);
   void SendStop(std::uint64_t id);
   void OnStopAnswer(std::uint64_t id,
-                    std::uint64_t sent_token,
+                    const sent_stop& sent,
                     order_answer answer);
+  /// Ends the calls of all runs once their lease has passed. They are on a
+  /// minion at another address, which may live on beside its successor.
+  void SetAsideRuns();
   /// Stops a run that no call of this agent waits for: one of an earlier agent,
   /// or one that an earlier life's order has started.
   void StopUnknownRun(const run_name& run);
--- a/src/jayrill/agent/leased_minion_reports.cc
+++ b/src/jayrill/agent/leased_minion_reports.cc
@@ -77,19 +77,19 @@
     acknowledgement_sent_ = std::max(acknowledgement_sent_, sent.acknowledged);
   }
   failed_reports_ = 0;
-  if (minion_->life != 0 && answer->life < minion_->life) {
+  if (answer->life < std::max(life_, minion_->life)) {
     return;  // The minion has restarted since it sent this report.
   }
   if (!AdoptLife(sent.serial, *answer)) {
     RequestReport({});
     return;
   }
+  ProcessEndedRuns(*answer);
   if (clock_read_at_ && answer->clock < clock_read_) {
     return;  // A newer report has overtaken it.
   }
   clock_read_ = answer->clock;
   clock_read_at_ = time_.Now();
-  ProcessEndedRuns(*answer);
   ProcessRunningRuns(sent.serial, *answer);
   first_failure_at_.reset();
   BeginWaitingCalls();
@@ -120,7 +120,7 @@
 bool leased_minion::AdoptLife(std::uint64_t serial, const run_report& report) {
   if (report.life != life_) {
     if (life_ != 0) {
-      RaiseToken();
+      FenceOpenCall(token_);
       last_report_before_life_ = last_serial_;
     }
     life_ = report.life;
@@ -145,6 +145,8 @@
     if (!present.contains(run.name)) {
       run.reason = "the minion has restarted";
       ended.push_back(id);
+    } else {
+      run.last_report_before_stop.reset();  // That stop has gone with its life.
     }
   }
   AssignCrashRoles(ended);
--- a/tests/unit/report_order_test.cc
+++ b/tests/unit/report_order_test.cc
@@ -124,5 +124,84 @@
   EXPECT_EQ(minion.starts.size(), 2U);
 }
 
+/// An agent with a minion that is synced in life 1, and the results of calls.
+struct agent_rig {
+  agent_rig() {
+    announced.life = 1;
+    announced.port = 8000;
+    agent.OnAnnounced(announced);
+    AnswerReport(0, 1);
+  }
+
+  /// Answers the request number \p index with a report of \p life that lists
+  /// nothing.
+  void AnswerReport(std::size_t index, std::uint64_t life) {
+    run_report report;
+    report.life = life;
+    report.clock = milliseconds(1000);
+    minion.answers.at(index)(report);
+  }
+
+  void Run(std::uint64_t id) {
+    task_call call;
+    call.id = id;
+    call.order.job_name = "job";
+    call.order.task_index = static_cast<std::uint32_t>(id);
+    call.released = time.Now();
+    call.deadline = time.Now() + std::chrono::seconds(60);
+    agent.Run(call);
+  }
+
+  manual_clock time;
+  manual_scheduler timers{time};
+  minion_with_held_reports minion;
+  announcement announced;
+  std::vector<task_result> results;
+  leased_minion agent{lease_settings{.stall_limit = std::chrono::minutes(1)},
+                      time,
+                      timers,
+                      minion,
+                      {[this](std::uint64_t, const task_result& outcome) {
+                         results.push_back(outcome);
+                       },
+                       [](std::uint64_t) {}}};
+};
+
+// Guards against an agent that takes the minion for an earlier life again, and
+// ends the calls of the present one, after a report that was overtaken.
+TEST(report_order_test, AReportOfAnEarlierLifeIsIgnored) {
+  agent_rig rig;
+  rig.Run(1);
+  rig.minion.starts.at(0)(order_answer::kAccepted);
+  rig.agent.Stop(1);  // Its acknowledgement requests a second report.
+  ASSERT_EQ(rig.minion.answers.size(), 3U);
+  rig.AnswerReport(2, 2);
+  ASSERT_EQ(rig.minion.answers.size(), 4U);
+  rig.AnswerReport(3, 2);
+  ASSERT_EQ(rig.results.size(), 1U);
+  rig.AnswerReport(1, 1);
+  rig.Run(2);
+  EXPECT_EQ(rig.minion.starts.size(), 2U);
+}
+
+// Guards against a task that starts elsewhere while its run works on: the
+// minion was followed by another one at another address, whose report does not
+// list the run, but lives on itself.
+TEST(report_order_test, ARunOfAPredecessorEndsWithItsLease) {
+  agent_rig rig;
+  rig.Run(1);
+  rig.minion.starts.at(0)(order_answer::kAccepted);
+  rig.announced.instance = "i2";
+  rig.announced.life = 2;
+  rig.announced.port = 8001;
+  rig.agent.OnAnnounced(rig.announced);
+  rig.AnswerReport(rig.minion.answers.size() - 1, 2);
+  EXPECT_EQ(rig.minion.stops, 1);
+  rig.timers.RunFor(milliseconds(1000));
+  EXPECT_TRUE(rig.results.empty());
+  rig.timers.RunFor(milliseconds(200));
+  EXPECT_EQ(rig.results.size(), 1U);
+}
+
 }  // namespace
 }  // namespace jayrill
