Report how late the event loop of the soak was

The stand-ins, callers and links share one thread. A play in which it falls behind shows little, and nothing told so. The last line has the longest delay of a timer and the share of the time in which one was overdue.

--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -17,6 +17,7 @@
 #include "callers.h"
 #include "faults.h"
 #include "fleet.h"
+#include "loop_lag.h"
 #include "run_log.h"
 
 namespace jayrill::soak {
@@ -120,6 +121,7 @@
           const callers& clients,
           const fleet& site,
           const fault_series& faults,
+          const loop_lag& lag,
           steady_time begin) {
   constexpr std::size_t kShownCases = 5;
   const system_clock time;
@@ -148,7 +150,9 @@
   }
   std::cout << " overlaps=" << overlaps.size()
             << " ran_although_refused=" << refused.size()
-            << " unexpected_ends=" << site.UnexpectedEnds() << "\n";
+            << " unexpected_ends=" << site.UnexpectedEnds()
+            << " longest_lag_ms=" << lag.longest().count()
+            << " late_percent=" << lag.LatePercent() << "\n";
   const bool is_broken =
       !overlaps.empty() || !refused.empty() || site.UnexpectedEnds() > 0;
   return is_broken ? kBroken : kHeld;
@@ -175,6 +179,7 @@
   callers clients(std::move(addresses), time, log, caller_random);
   fault_series faults(site, settings.groups, time, fault_random);
   const steady_time begin = time.Now();
+  const loop_lag lag(time);
   clients.StartArrivals(settings.arrival_interval);
   RunEventLoop(kFaultFreeTime);
   faults.Start(settings.min_gap, settings.max_gap);
@@ -191,7 +196,7 @@
     std::cout << "soak: no job was served\n";
     return kNotRun;
   }
-  return Judge(settings, log, clients, site, faults, begin);
+  return Judge(settings, log, clients, site, faults, lag, begin);
 }
 
 soak_settings ParseSettings(const QCoreApplication& application) {
