--- a/tests/unit/report_order_test.cc
+++ b/tests/unit/report_order_test.cc
@@ -31,97 +31,22 @@
     done(order_answer::kAccepted);
   }
 
-  void Renew(const renewal& request,
+  void Renew(const renewal& /*request*/,
              std::function<void(result<run_report>)> done) override {
-    requests.push_back(request);
     answers.push_back(std::move(done));
   }
 
   std::optional<run_name> run;
   std::vector<std::function<void(order_answer)>> starts;
   int stops = 0;
-  std::vector<renewal> requests;
   std::vector<std::function<void(result<run_report>)>> answers;
 };
 
-// Guards against a run that counts as unknown and is stopped, and a lease that
-// is held back for all runs, because a report that lists the run arrives after
-// the newer one that lists its end.
-TEST(report_order_test, AReportThatWasOvertakenIsIgnored) {
-  manual_clock time;
-  manual_scheduler timers(time);
-  minion_with_held_reports minion;
-  std::vector<task_result> results;
-  leased_minion agent(lease_settings{.stall_limit = std::chrono::minutes(1)},
-                      time, timers, minion,
-                      {[&results](std::uint64_t, const task_result& outcome) {
-                         results.push_back(outcome);
-                       },
-                       [](std::uint64_t) {}});
-  announcement announced;
-  announced.life = 1;
-  agent.OnAnnounced(announced);
-  run_report empty;
-  empty.life = 1;
-  empty.clock = milliseconds(1000);
-  minion.answers.at(0)(empty);
-  task_call call;
-  call.order.job_name = "job";
-  call.released = time.Now();
-  call.deadline = time.Now() + std::chrono::seconds(60);
-  for (call.id = 1; call.id <= 2; ++call.id) {
-    call.order.task_index = static_cast<std::uint32_t>(call.id);
-    agent.Run(call);
-    minion.starts.back()(order_answer::kAccepted);
-  }
-  const run_name second_run = *minion.run;
-  agent.Stop(1);  // Its acknowledgement requests a second report.
-  ASSERT_EQ(minion.answers.size(), 3U);
-  const int stops_before = minion.stops;
-
-  run_report newer = empty;
-  newer.clock = milliseconds(1010);
-  newer.ended.push_back({1, second_run, run_end::kDone});
-  minion.answers.at(2)(newer);
-  ASSERT_EQ(results.size(), 1U);
-  run_report older = empty;
-  older.clock = milliseconds(1005);
-  older.running.push_back({second_run, 50});
-  minion.answers.at(1)(older);
-  EXPECT_EQ(minion.stops, stops_before);
-}
-
-// Guards against a run that begins after its call has ended: it was ordered
-// again while the minion was between two lives, and the report that ends the
-// runs of the earlier life was requested before the order arrived.
-TEST(report_order_test, ARefusedStartWaitsForTheReportOfTheNextLife) {
-  manual_clock time;
-  manual_scheduler timers(time);
-  minion_with_held_reports minion;
-  leased_minion agent(
-      lease_settings{}, time, timers, minion,
-      {[](std::uint64_t, const task_result&) {}, [](std::uint64_t) {}});
-  announcement announced;
-  announced.life = 1;
-  agent.OnAnnounced(announced);
-  run_report empty;
-  empty.life = 1;
-  empty.clock = milliseconds(1000);
-  minion.answers.at(0)(empty);
-  task_call call;
-  call.id = 1;
-  call.order.job_name = "job";
-  call.released = time.Now();
-  call.deadline = time.Now() + std::chrono::seconds(60);
-  agent.Run(call);
-  ASSERT_EQ(minion.starts.size(), 1U);
-  announced.life = 2;
-  agent.OnAnnounced(announced);
-  minion.starts.at(0)(order_answer::kFenced);
-  EXPECT_EQ(minion.starts.size(), 1U);
-  empty.life = 2;
-  minion.answers.back()(empty);
-  EXPECT_EQ(minion.starts.size(), 2U);
+run_report EmptyReport(std::uint64_t life) {
+  run_report report;
+  report.life = life;
+  report.clock = milliseconds(1000);
+  return report;
 }
 
 /// An agent with a minion that is synced in life 1, and the results of calls.
@@ -136,10 +61,7 @@
   /// Answers the request number \p index with a report of \p life that lists
   /// nothing.
   void AnswerReport(std::size_t index, std::uint64_t life) {
-    run_report report;
-    report.life = life;
-    report.clock = milliseconds(1000);
-    minion.answers.at(index)(report);
+    minion.answers.at(index)(EmptyReport(life));
   }
 
   void Run(std::uint64_t id) {
@@ -167,6 +89,47 @@
                        [](std::uint64_t) {}}};
 };
 
+// Guards against a run that counts as unknown and is stopped, and a lease that
+// is held back for all runs, because a report that lists the run arrives after
+// the newer one that lists its end.
+TEST(report_order_test, AReportThatWasOvertakenIsIgnored) {
+  agent_rig rig;
+  rig.Run(1);
+  rig.minion.starts.at(0)(order_answer::kAccepted);
+  rig.Run(2);
+  rig.minion.starts.at(1)(order_answer::kAccepted);
+  const run_name second_run = *rig.minion.run;
+  rig.agent.Stop(1);  // Its acknowledgement requests a second report.
+  ASSERT_EQ(rig.minion.answers.size(), 3U);
+  const int stops_before = rig.minion.stops;
+
+  run_report newer = EmptyReport(1);
+  newer.clock += milliseconds(10);
+  newer.ended.push_back({1, second_run, run_end::kDone});
+  rig.minion.answers.at(2)(newer);
+  ASSERT_EQ(rig.results.size(), 1U);
+  run_report older = EmptyReport(1);
+  older.clock += milliseconds(5);
+  older.running.push_back({second_run, 50});
+  rig.minion.answers.at(1)(older);
+  EXPECT_EQ(rig.minion.stops, stops_before);
+}
+
+// Guards against a run that begins after its call has ended: it was ordered
+// again while the minion was between two lives, and the report that ends the
+// runs of the earlier life was requested before the order arrived.
+TEST(report_order_test, ARefusedStartWaitsForTheReportOfTheNextLife) {
+  agent_rig rig;
+  rig.Run(1);
+  ASSERT_EQ(rig.minion.starts.size(), 1U);
+  rig.announced.life = 2;
+  rig.agent.OnAnnounced(rig.announced);
+  rig.minion.starts.at(0)(order_answer::kFenced);
+  EXPECT_EQ(rig.minion.starts.size(), 1U);
+  rig.AnswerReport(rig.minion.answers.size() - 1, 2);
+  EXPECT_EQ(rig.minion.starts.size(), 2U);
+}
+
 // Guards against an agent that takes the minion for an earlier life again, and
 // ends the calls of the present one, after a report that was overtaken.
 TEST(report_order_test, AReportOfAnEarlierLifeIsIgnored) {
