--- a/src/jayrill/agent/leased_minion.cc
+++ b/src/jayrill/agent/leased_minion.cc
@@ -83,7 +83,7 @@
   }
   control_.SetMinion(minion);
   if (has_restarted) {
-    FenceOpenCall(token_);
+    FenceCalls(token_);
     life_ = minion.life;
     last_report_before_life_ = last_serial_;
     acknowledged_ = 0;
@@ -259,7 +259,7 @@
   }
 }
 
-void leased_minion::FenceOpenCall(std::uint64_t sent_token) {
+void leased_minion::FenceCalls(std::uint64_t sent_token) {
   token_ = std::max(token_, sent_token + 1);
 }
 
--- a/src/jayrill/agent/leased_minion.h
+++ b/src/jayrill/agent/leased_minion.h
@@ -190,14 +190,16 @@
   void Tick();
   /// Stops all runs after a pause of the process.
   void CheckPause();
-  /// Raises the fencing token after the minion has refused it or restarted.
+  /// Raises the fencing token after the minion has refused it, by a step that
+  /// doubles each time.
   void RaiseToken();
   /// The minion has refused \p sent_token; raises the token unless that has
   /// happened since the call was sent.
   void OnTokenRefused(std::uint64_t sent_token);
-  /// A call with \p sent_token had no answer, so it may be carried out later;
-  /// gives all further calls a higher token.
-  void FenceOpenCall(std::uint64_t sent_token);
+  /// Gives all further calls a token above \p sent_token. A call that was sent
+  /// with it and had no answer, or was sent to an earlier life, has no effect
+  /// after one of them.
+  void FenceCalls(std::uint64_t sent_token);
   /// \returns true when the last reading of the minion's clock is recent enough
   /// to compute the end of a lease from it.
   bool IsClockCurrent() const;
--- a/src/jayrill/agent/leased_minion_orders.cc
+++ b/src/jayrill/agent/leased_minion_orders.cc
@@ -39,7 +39,7 @@
                                   order_answer answer) {
   CheckPause();
   if (answer == order_answer::kLost) {
-    FenceOpenCall(sent.token);
+    FenceCalls(sent.token);
   }
   const auto found = runs_.find(id);
   if (found == runs_.end() || found->second.name.attempt != sent.attempt) {
--- a/src/jayrill/agent/leased_minion_reports.cc
+++ b/src/jayrill/agent/leased_minion_reports.cc
@@ -104,7 +104,7 @@
     OnTokenRefused(sent_token);
     failed_reports_ = 0;
   } else if (!is_unreachable_) {
-    FenceOpenCall(sent_token);
+    FenceCalls(sent_token);
   }
   if (failed_reports_ == kMaxRenewalFailures) {
     LOG(WARNING) << "lease: the minion does not answer runs=" << runs_.size()
@@ -120,7 +120,7 @@
 bool leased_minion::AdoptLife(std::uint64_t serial, const run_report& report) {
   if (report.life != life_) {
     if (life_ != 0) {
-      FenceOpenCall(token_);
+      FenceCalls(token_);
       last_report_before_life_ = last_serial_;
     }
     life_ = report.life;
