--- /dev/null
+++ b/review/fleet-2/main.cpp
@@ -0,0 +1,357 @@
+// Starts entries and agents of jayrill as separate processes with the commands
+// of the deploy file, beside stand-ins of the store, the minions and the
+// clients, and judges what these have seen.
+//
+//   fleet SCENARIO PROGRAM RECORD TROUBLE
+//
+// Exits with 1 when the rule was broken, 0 when it held and 2 when the case
+// could not run.
+
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <memory>
+#include <random>
+
+#include "platform.hpp"
+
+namespace review2 {
+namespace {
+
+constexpr int kHeld = 0;
+constexpr int kBroken = 1;
+constexpr int kCannotRun = 2;
+
+constexpr std::size_t kEntries = 2;
+constexpr std::size_t kAgents = 4;
+
+constexpr char kHost[] = "nony24.example";
+constexpr char kPrefix[] = "/lohu930/";
+
+// The end of the day, measured from the start of the machines. Traffic starts
+// 10 s after them, as on the sites.
+constexpr std::chrono::seconds kTrafficStart(10);
+constexpr std::chrono::seconds kTrafficLength(40);
+constexpr milliseconds kJobInterval{50};
+constexpr milliseconds kDeadline{1500};
+constexpr std::chrono::seconds kReadyLimit(5);
+
+// Returns `count` ports that are free now.
+std::vector<std::uint16_t> FreePorts(std::size_t count) {
+  std::vector<int> sockets;
+  std::vector<std::uint16_t> ports;
+  for (std::size_t i = 0; i < count; ++i) {
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address = Loopback(0);
+    socklen_t size = sizeof(address);
+    if (bind(fd, reinterpret_cast<sockaddr*>(&address), size) != 0 ||
+        getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size) != 0) {
+      std::exit(kCannotRun);
+    }
+    sockets.push_back(fd);
+    ports.push_back(ntohs(address.sin_port));
+  }
+  for (const int fd : sockets) {
+    close(fd);
+  }
+  return ports;
+}
+
+std::string Address(std::uint16_t port) {
+  return "127.0.0.1:" + std::to_string(port);
+}
+
+// A process of jayrill; killed when the object is destroyed.
+class role_process {
+ public:
+  role_process(const std::string& program,
+               const std::string& role,
+               std::vector<std::string> environment) {
+    environment.push_back("PATH=/usr/bin:/bin");
+    environment.push_back("HOME=/tmp");
+    environment.push_back("LANG=C.UTF-8");
+    std::vector<char*> variables;
+    for (std::string& item : environment) {
+      variables.push_back(item.data());
+    }
+    variables.push_back(nullptr);
+    pid_ = fork();
+    if (pid_ == 0) {
+      // The process ends with this program, however that ends.
+      prctl(PR_SET_PDEATHSIG, SIGKILL);
+      // The logs of the processes are not needed.
+      if (std::freopen("/dev/null", "w", stdout) == nullptr ||
+          std::freopen("/dev/null", "w", stderr) == nullptr) {
+        _exit(kCannotRun);
+      }
+      execle(program.c_str(), program.c_str(), role.c_str(), nullptr,
+             variables.data());
+      _exit(kCannotRun);
+    }
+  }
+  role_process(const role_process&) = delete;
+  role_process& operator=(const role_process&) = delete;
+  ~role_process() {
+    if (IsRunning()) {
+      kill(pid_, SIGKILL);
+      waitpid(pid_, nullptr, 0);
+    }
+  }
+
+  bool IsRunning() {
+    if (!has_ended_) {
+      has_ended_ = waitpid(pid_, nullptr, WNOHANG) == pid_;
+    }
+    return !has_ended_;
+  }
+
+ private:
+  pid_t pid_ = -1;
+  bool has_ended_ = false;
+};
+
+QJsonObject FirstConfig() {
+  const QJsonObject route{
+      {QLatin1String("name"), QLatin1String("r-wrr6x73")},
+      {QLatin1String("host"), QLatin1String(kHost)},
+      {QLatin1String("prefix"), QLatin1String(kPrefix)},
+      {QLatin1String("type"), QLatin1String("non_idempotent")},
+      {QLatin1String("timeout_ms"), 1500},
+      {QLatin1String("target_latency_ms"), 60},
+      {QLatin1String("priority"), 0},
+      {QLatin1String("service"), QLatin1String(minion_standin::kService)},
+      {QLatin1String("max_attempts"), 3},
+      {QLatin1String("slack_factor"), 1.6}};
+  const QJsonObject service{
+      {QLatin1String("name"), QLatin1String(minion_standin::kService)},
+      {QLatin1String("health_path"), QLatin1String("/health")},
+      {QLatin1String("max_connections"), 64},
+      {QLatin1String("enforces_capacity"), true},
+      {QLatin1String("standby"), false}};
+  return {{QLatin1String("version"), 7},
+          {QLatin1String("routes"), QJsonArray{route}},
+          {QLatin1String("services"), QJsonArray{service}},
+          {QLatin1String("limits"), QJsonObject()}};
+}
+
+// A small deployment: a store, entries, and agents with a minion each.
+class fleet {
+ public:
+  fleet(std::string program, recorder& record)
+      : program_(std::move(program)),
+        record_(record),
+        ports_(FreePorts(1 + 3 * kEntries + 2 * kAgents)) {}
+
+  bool Start() {
+    store_.Put("op/config", FirstConfig());
+    if (!Serve(StorePort(), [this](const http_message& request) {
+          return store_.Handle(request);
+        })) {
+      return false;
+    }
+    for (std::size_t i = 0; i < kEntries; ++i) {
+      processes_.push_back(std::make_unique<role_process>(
+          program_, "entry",
+          std::vector<std::string>{
+              "JAYRILL_PLATFORM=true", "JAYRILL_ID=edge-" + ZoneOf(i),
+              "JAYRILL_DATA_CENTRE=" + ZoneOf(i),
+              "JAYRILL_HTTP_LISTEN=" + Address(EntryPort(i)),
+              "JAYRILL_HEALTH_LISTEN=" + Address(EntryPort(i, 1)),
+              "JAYRILL_RPC_LISTEN=" + Address(EntryPort(i, 2)),
+              "JAYRILL_STORE_ENDPOINTS=" + Address(StorePort()),
+              "JAYRILL_REPEAT_AFTER_MS=1300", "JAYRILL_PROCESSOR_CORES=0.25",
+              "JAYRILL_SLOW_START_MS=0", "JAYRILL_STOP_DELAY_MS=2000"}));
+    }
+    const std::string seeds =
+        Address(EntryPort(0, 2)) + "," + Address(EntryPort(1, 2));
+    for (std::size_t i = 0; i < kAgents; ++i) {
+      const std::string name = "side-" + std::to_string(i);
+      processes_.push_back(std::make_unique<role_process>(
+          program_, "agent",
+          std::vector<std::string>{
+              "JAYRILL_PLATFORM=true", "JAYRILL_ID=" + name,
+              "JAYRILL_WORKER=" + name,
+              "JAYRILL_DATA_CENTRE=" + ZoneOf(i % kEntries),
+              "JAYRILL_ANNOUNCE_LISTEN=" + Address(AgentPort(i)),
+              "JAYRILL_ENTRIES=" + seeds, "JAYRILL_REPEAT_AFTER_MS=1300",
+              "JAYRILL_LEASE_MS=1000", "JAYRILL_STOP_LIMIT_MS=5000",
+              "JAYRILL_STATUS_INTERVAL_MS=5"}));
+      minions_.push_back(std::make_unique<minion_standin>(
+          "i-7f3a91c" + std::to_string(i), ZoneOf(i % kEntries),
+          AgentPort(i, 1), AgentPort(i), record_));
+      if (!minions_.back()->Start()) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  // Returns true when all processes run, all entries are ready and all agents
+  // have acknowledged a heartbeat, within `limit`.
+  bool WaitUntilReady(milliseconds limit) {
+    const time_point until = clock_type::now() + limit;
+    while (clock_type::now() < until) {
+      bool ready = true;
+      for (std::size_t i = 0; i < kEntries; ++i) {
+        const auto answer = Call(EntryPort(i, 1), "GET", "/v1/ready",
+                                 "Host: 127.0.0.1\r\n", "", milliseconds(500));
+        ready &= answer && answer->status == 200;
+      }
+      for (const auto& minion : minions_) {
+        ready &= minion->acknowledged() > 0;
+      }
+      if (ready) {
+        return AreAllRunning();
+      }
+      std::this_thread::sleep_for(milliseconds(100));
+    }
+    return false;
+  }
+
+  bool AreAllRunning() {
+    return std::all_of(processes_.begin(), processes_.end(),
+                       [](const auto& item) { return item->IsRunning(); });
+  }
+
+  std::uint16_t EntryPort(std::size_t i, std::size_t which = 0) const {
+    return ports_[1 + 3 * i + which];
+  }
+  const std::vector<std::unique_ptr<minion_standin>>& minions() const {
+    return minions_;
+  }
+
+ private:
+  static std::string ZoneOf(std::size_t i) {
+    return "ch-north-" + std::string(1, static_cast<char>('a' + i));
+  }
+  std::uint16_t StorePort() const { return ports_[0]; }
+  std::uint16_t AgentPort(std::size_t i, std::size_t which = 0) const {
+    return ports_[1 + 3 * kEntries + 2 * i + which];
+  }
+
+  std::string program_;
+  recorder& record_;
+  std::vector<std::uint16_t> ports_;
+  store_standin store_;
+  std::vector<std::unique_ptr<minion_standin>> minions_;
+  std::vector<std::unique_ptr<role_process>> processes_;
+};
+
+std::string RandomJobId(std::mt19937_64& random) {
+  char text[17];
+  std::snprintf(text, sizeof(text), "%016llx",
+                static_cast<unsigned long long>(random()));
+  return text;
+}
+
+// Submits one best-effort job of two tasks of 60 ms.
+// Returns the status of the answer, 0 when there is none.
+int SubmitJob(std::uint16_t port, const std::string& id) {
+  const std::string headers =
+      std::string("Host: ") + kHost +
+      "\r\nX-Deadline-Ms: " + std::to_string(kDeadline.count()) + "\r\n";
+  const auto answer =
+      Call(port, "POST", kPrefix + id, headers,
+           R"({"spec":"60","phases":[{"count":2,"cpu":1600,"mem_mb":64,)"
+           R"("estimate_ms":60}],"best_effort":true})",
+           kDeadline + milliseconds(50));
+  return answer ? answer->status : 0;
+}
+
+// Another writer sends one heartbeat to each agent. It names a service that no
+// configuration names, and an address at which nobody listens.
+void SendForeignHeartbeats(const fleet& site, recorder& record) {
+  const std::uint16_t unused = FreePorts(1).front();
+  for (const auto& minion : site.minions()) {
+    const std::string body = ToText(minion_standin::Heartbeat(
+        "bomi73a", unused, "ch-north-a", 5, UnixMillis(), 1));
+    const auto answer =
+        Call(minion->agent_port(), "PUT", "/v1/instances/i-0badcafe",
+             "Host: 127.0.0.1\r\n", body, std::chrono::seconds(1));
+    record.Write("other writer: heartbeat to the agent of " + minion->id() +
+                 " " + body + " -> " +
+                 (answer ? std::to_string(answer->status) : "no answer"));
+  }
+}
+
+// Rule Fault: the day counts 0 if no request is served.
+int PlayForeignHeartbeat(fleet& site, recorder& record, bool trouble) {
+  const time_point begin = clock_type::now();
+  if (!site.Start() || !site.WaitUntilReady(kReadyLimit)) {
+    record.Write("the fleet is not ready");
+    return kCannotRun;
+  }
+  if (trouble) {
+    SendForeignHeartbeats(site, record);
+  }
+  std::this_thread::sleep_until(begin + kTrafficStart);
+  std::mt19937_64 random(39);
+  std::mutex mutex;
+  std::map<int, int> statuses;
+  std::vector<std::thread> clients;
+  for (time_point next = clock_type::now();
+       next < begin + kTrafficStart + kTrafficLength; next += kJobInterval) {
+    std::this_thread::sleep_until(next);
+    const std::size_t entry = clients.size() % kEntries;
+    clients.emplace_back([&, entry, id = RandomJobId(random)] {
+      const int status = SubmitJob(site.EntryPort(entry), id);
+      record.Write("client job=" + id + " entry=" + std::to_string(entry) +
+                   " -> " +
+                   (status == 0 ? "no answer" : std::to_string(status)));
+      const std::lock_guard<std::mutex> lock(mutex);
+      ++statuses[status];
+    });
+  }
+  for (std::thread& client : clients) {
+    client.join();
+  }
+  if (!site.AreAllRunning()) {
+    record.Write("a process has ended by itself");
+    return kBroken;
+  }
+  std::string summary;
+  for (const auto& [status, count] : statuses) {
+    summary += " " + std::to_string(status) + ":" + std::to_string(count);
+  }
+  for (const auto& minion : site.minions()) {
+    summary += " heartbeats of " + minion->id() +
+               " acknowledged:" + std::to_string(minion->acknowledged());
+  }
+  record.Write("answers by status:" + summary);
+  const bool is_broken = statuses[200] == 0;
+  record.Write(is_broken ? "Fault broken: no request was served"
+                         : "Fault held: requests were served");
+  return is_broken ? kBroken : kHeld;
+}
+
+int Play(const std::string& scenario,
+         const std::string& program,
+         const std::string& record_path,
+         bool trouble) {
+  recorder record(record_path);
+  fleet site(program, record);
+  if (scenario == "foreign_heartbeat") {
+    return PlayForeignHeartbeat(site, record, trouble);
+  }
+  record.Write("unknown scenario " + scenario);
+  return kCannotRun;
+}
+
+}  // namespace
+}  // namespace review2
+
+int main(int argc, char** argv) {
+  if (argc != 5) {
+    std::fprintf(stderr, "usage: fleet SCENARIO PROGRAM RECORD TROUBLE\n");
+    return 2;
+  }
+  signal(SIGPIPE, SIG_IGN);
+  const int result =
+      review2::Play(argv[1], argv[2], argv[3], std::string(argv[4]) != "0");
+  // The threads of the stand-ins run on and use what would be destroyed now.
+  std::fflush(nullptr);
+  _exit(result);
+}
