--- a/review/fleet-2/main.cpp
+++ b/review/fleet-2/main.cpp
@@ -25,8 +25,9 @@
 constexpr int kBroken = 1;
 constexpr int kCannotRun = 2;
 
-constexpr std::size_t kEntries = 2;
 constexpr std::size_t kAgents = 4;
+// The settings name the addresses of at most three entries to an agent.
+constexpr std::size_t kSeeds = 3;
 
 constexpr char kHost[] = "nony24.example";
 constexpr char kPrefix[] = "/lohu930/";
@@ -39,6 +40,13 @@
 constexpr milliseconds kDeadline{1500};
 constexpr std::chrono::seconds kReadyLimit(5);
 
+// The final fault of a day, and what follows it.
+constexpr std::chrono::seconds kFaultAfter(20);
+constexpr milliseconds kRestartDelay{500};
+constexpr std::chrono::seconds kSeedLag(3);    // Bound `seed_lag_s`.
+constexpr std::chrono::seconds kRecovery(12);  // Bound `recovery_s`.
+constexpr std::chrono::seconds kJudgedLength(20);
+
 // Returns `count` ports that are free now.
 std::vector<std::uint16_t> FreePorts(std::size_t count) {
   std::vector<int> sockets;
@@ -94,12 +102,17 @@
   }
   role_process(const role_process&) = delete;
   role_process& operator=(const role_process&) = delete;
-  ~role_process() {
+  ~role_process() { Kill(); }
+
+  void Kill() {
     if (IsRunning()) {
       kill(pid_, SIGKILL);
       waitpid(pid_, nullptr, 0);
+      has_ended_ = true;
+      is_killed_ = true;
     }
   }
+  bool is_killed() const { return is_killed_; }
 
   bool IsRunning() {
     if (!has_ended_) {
@@ -111,6 +124,7 @@
  private:
   pid_t pid_ = -1;
   bool has_ended_ = false;
+  bool is_killed_ = false;
 };
 
 QJsonObject FirstConfig() {
@@ -140,10 +154,28 @@
 // A small deployment: a store, entries, and agents with a minion each.
 class fleet {
  public:
-  fleet(std::string program, recorder& record)
+  fleet(std::string program, recorder& record, std::size_t entries)
       : program_(std::move(program)),
         record_(record),
-        ports_(FreePorts(1 + 3 * kEntries + 2 * kAgents)) {}
+        ports_(FreePorts(1 + 3 * entries + 2 * kAgents)),
+        entries_(entries),
+        agents_(kAgents) {
+    std::string folder = "/tmp/review-2-XXXXXX";
+    if (mkdtemp(folder.data()) == nullptr) {
+      std::exit(kCannotRun);
+    }
+    settings_path_ = folder + "/local.json";
+  }
+  fleet(const fleet&) = delete;
+  fleet& operator=(const fleet&) = delete;
+
+  // Ends all processes and removes the temporary folder. The threads of the
+  // stand-ins go on, so a fleet is never destroyed.
+  void End() {
+    KillAll();
+    std::remove(settings_path_.c_str());
+    rmdir(settings_path_.substr(0, settings_path_.rfind('/')).c_str());
+  }
 
   bool Start() {
     store_.Put("op/config", FirstConfig());
@@ -152,35 +184,13 @@
         })) {
       return false;
     }
-    for (std::size_t i = 0; i < kEntries; ++i) {
-      processes_.push_back(std::make_unique<role_process>(
-          program_, "entry",
-          std::vector<std::string>{
-              "JAYRILL_PLATFORM=true", "JAYRILL_ID=edge-" + ZoneOf(i),
-              "JAYRILL_DATA_CENTRE=" + ZoneOf(i),
-              "JAYRILL_HTTP_LISTEN=" + Address(EntryPort(i)),
-              "JAYRILL_HEALTH_LISTEN=" + Address(EntryPort(i, 1)),
-              "JAYRILL_RPC_LISTEN=" + Address(EntryPort(i, 2)),
-              "JAYRILL_STORE_ENDPOINTS=" + Address(StorePort()),
-              "JAYRILL_REPEAT_AFTER_MS=1300", "JAYRILL_PROCESSOR_CORES=0.25",
-              "JAYRILL_SLOW_START_MS=0", "JAYRILL_STOP_DELAY_MS=2000"}));
+    for (std::size_t i = 0; i < entries_.size(); ++i) {
+      StartEntry(i);
     }
-    const std::string seeds =
-        Address(EntryPort(0, 2)) + "," + Address(EntryPort(1, 2));
     for (std::size_t i = 0; i < kAgents; ++i) {
-      const std::string name = "side-" + std::to_string(i);
-      processes_.push_back(std::make_unique<role_process>(
-          program_, "agent",
-          std::vector<std::string>{
-              "JAYRILL_PLATFORM=true", "JAYRILL_ID=" + name,
-              "JAYRILL_WORKER=" + name,
-              "JAYRILL_DATA_CENTRE=" + ZoneOf(i % kEntries),
-              "JAYRILL_ANNOUNCE_LISTEN=" + Address(AgentPort(i)),
-              "JAYRILL_ENTRIES=" + seeds, "JAYRILL_REPEAT_AFTER_MS=1300",
-              "JAYRILL_LEASE_MS=1000", "JAYRILL_STOP_LIMIT_MS=5000",
-              "JAYRILL_STATUS_INTERVAL_MS=5"}));
+      StartAgent(i);
       minions_.push_back(std::make_unique<minion_standin>(
-          "i-7f3a91c" + std::to_string(i), ZoneOf(i % kEntries),
+          "i-7f3a91c" + std::to_string(i), ZoneOf(i % entries_.size()),
           AgentPort(i, 1), AgentPort(i), record_));
       if (!minions_.back()->Start()) {
         return false;
@@ -189,16 +199,81 @@
     return true;
   }
 
+  void StartEntry(std::size_t i) {
+    entries_[i] = std::make_unique<role_process>(
+        program_, "entry",
+        std::vector<std::string>{
+            "JAYRILL_PLATFORM=true", "JAYRILL_ID=edge-" + ZoneOf(i),
+            "JAYRILL_DATA_CENTRE=" + ZoneOf(i),
+            "JAYRILL_HTTP_LISTEN=" + Address(EntryPort(i)),
+            "JAYRILL_HEALTH_LISTEN=" + Address(EntryPort(i, 1)),
+            "JAYRILL_RPC_LISTEN=" + Address(EntryPort(i, 2)),
+            "JAYRILL_STORE_ENDPOINTS=" + Address(StorePort()),
+            "JAYRILL_REPEAT_AFTER_MS=1300", "JAYRILL_PROCESSOR_CORES=0.25",
+            "JAYRILL_SLOW_START_MS=0", "JAYRILL_STOP_DELAY_MS=2000"});
+  }
+
+  // The seeds in the settings of the agents are the first entries, at most
+  // kSeeds, until SetSeeds is called.
+  void StartAgent(std::size_t i) {
+    if (seeds_.empty()) {
+      std::vector<std::size_t> first;
+      for (std::size_t e = 0; e < std::min(kSeeds, entries_.size()); ++e) {
+        first.push_back(e);
+      }
+      SetSeeds(first);
+    }
+    const std::string name = "side-" + std::to_string(i);
+    agents_[i] = std::make_unique<role_process>(
+        program_, "agent",
+        std::vector<std::string>{
+            "JAYRILL_PLATFORM=true", "JAYRILL_ID=" + name,
+            "JAYRILL_WORKER=" + name,
+            "JAYRILL_DATA_CENTRE=" + ZoneOf(i % entries_.size()),
+            "JAYRILL_ANNOUNCE_LISTEN=" + Address(AgentPort(i)),
+            "JAYRILL_ENTRIES=" + seeds_, "JAYRILL_REPEAT_AFTER_MS=1300",
+            "JAYRILL_CONFIG=" + settings_path_, "JAYRILL_LEASE_MS=1000",
+            "JAYRILL_STOP_LIMIT_MS=5000", "JAYRILL_STATUS_INTERVAL_MS=5"});
+  }
+
+  // Sets the seeds in the settings of the agents: in the file, which may change
+  // while they run, and in the variables of those that are started from now on.
+  void SetSeeds(const std::vector<std::size_t>& entries) {
+    seeds_.clear();
+    QJsonArray seeds;
+    for (const std::size_t entry : entries) {
+      const std::string address = Address(EntryPort(entry, 2));
+      seeds_ += (seeds_.empty() ? "" : ",") + address;
+      seeds.append(QString::fromStdString(address));
+    }
+    const QJsonObject platform{{QLatin1String("address"),
+                                QString::fromStdString(Address(StorePort()))},
+                               {QLatin1String("form"), QLatin1String("kv")}};
+    std::ofstream(settings_path_)
+        << ToText({{QLatin1String("instance_type"), QLatin1String("side")},
+                   {QLatin1String("seeds"), seeds},
+                   {QLatin1String("platform"), platform}})
+        << std::endl;
+    record_.Write("settings: seeds=" + seeds_);
+  }
+
+  // Kills all processes of jayrill at the same moment.
+  void KillAll() {
+    for (auto* const processes : {&entries_, &agents_}) {
+      for (const auto& process : *processes) {
+        process->Kill();
+      }
+    }
+  }
+
   // Returns true when all processes run, all entries are ready and all agents
   // have acknowledged a heartbeat, within `limit`.
   bool WaitUntilReady(milliseconds limit) {
     const time_point until = clock_type::now() + limit;
     while (clock_type::now() < until) {
       bool ready = true;
-      for (std::size_t i = 0; i < kEntries; ++i) {
-        const auto answer = Call(EntryPort(i, 1), "GET", "/v1/ready",
-                                 "Host: 127.0.0.1\r\n", "", milliseconds(500));
-        ready &= answer && answer->status == 200;
+      for (std::size_t i = 0; i < entries_.size(); ++i) {
+        ready &= IsReady(i);
       }
       for (const auto& minion : minions_) {
         ready &= minion->acknowledged() > 0;
@@ -211,9 +286,16 @@
     return false;
   }
 
+  bool IsReady(std::size_t entry) const {
+    const auto answer = Call(EntryPort(entry, 1), "GET", "/v1/ready",
+                             "Host: 127.0.0.1\r\n", "", milliseconds(500));
+    return answer && answer->status == 200;
+  }
+
+  // Returns true when no process has ended by itself.
   bool AreAllRunning() {
-    return std::all_of(processes_.begin(), processes_.end(),
-                       [](const auto& item) { return item->IsRunning(); });
+    return std::all_of(entries_.begin(), entries_.end(), &fleet::IsAsLeft) &&
+           std::all_of(agents_.begin(), agents_.end(), &fleet::IsAsLeft);
   }
 
   std::uint16_t EntryPort(std::size_t i, std::size_t which = 0) const {
@@ -224,20 +306,26 @@
   }
 
  private:
+  static bool IsAsLeft(const std::unique_ptr<role_process>& process) {
+    return process->is_killed() || process->IsRunning();
+  }
   static std::string ZoneOf(std::size_t i) {
     return "ch-north-" + std::string(1, static_cast<char>('a' + i));
   }
   std::uint16_t StorePort() const { return ports_[0]; }
   std::uint16_t AgentPort(std::size_t i, std::size_t which = 0) const {
-    return ports_[1 + 3 * kEntries + 2 * i + which];
+    return ports_[1 + 3 * entries_.size() + 2 * i + which];
   }
 
   std::string program_;
   recorder& record_;
   std::vector<std::uint16_t> ports_;
+  std::string settings_path_;
+  std::string seeds_;  // IP:port,...
   store_standin store_;
   std::vector<std::unique_ptr<minion_standin>> minions_;
-  std::vector<std::unique_ptr<role_process>> processes_;
+  std::vector<std::unique_ptr<role_process>> entries_;
+  std::vector<std::unique_ptr<role_process>> agents_;
 };
 
 std::string RandomJobId(std::mt19937_64& random) {
@@ -277,6 +365,62 @@
   }
 }
 
+// Clients that submit a job each kJobInterval and record the answers.
+class traffic {
+ public:
+  traffic(const fleet& site, recorder& record)
+      : site_(site), record_(record), random_(39) {}
+
+  // Submits jobs to `entries` in turn until `end`, and waits for the answers.
+  // Returns the number of answers by status; 0 stands for none.
+  std::map<int, int> Play(const std::vector<std::size_t>& entries,
+                          time_point end) {
+    std::map<int, int> statuses;
+    std::mutex mutex;
+    std::vector<std::thread> clients;
+    for (time_point next = clock_type::now(); next < end;
+         next += kJobInterval) {
+      std::this_thread::sleep_until(next);
+      const std::size_t entry = entries[clients.size() % entries.size()];
+      clients.emplace_back([&, entry, id = RandomJobId(random_)] {
+        const int status = SubmitJob(site_.EntryPort(entry), id);
+        record_.Write("client job=" + id + " entry=" + std::to_string(entry) +
+                      " -> " +
+                      (status == 0 ? "no answer" : std::to_string(status)));
+        const std::lock_guard<std::mutex> lock(mutex);
+        ++statuses[status];
+      });
+    }
+    for (std::thread& client : clients) {
+      client.join();
+    }
+    return statuses;
+  }
+
+ private:
+  const fleet& site_;
+  recorder& record_;
+  std::mt19937_64 random_;
+};
+
+std::string Summary(const std::map<int, int>& statuses) {
+  std::string text;
+  for (const auto& [status, count] : statuses) {
+    text += " " + std::to_string(status) + ":" + std::to_string(count);
+  }
+  return text;
+}
+
+double ServedShare(const std::map<int, int>& statuses) {
+  int all = 0;
+  int served = 0;
+  for (const auto& [status, count] : statuses) {
+    all += count;
+    served += status == 200 ? count : 0;
+  }
+  return all == 0 ? 0 : static_cast<double>(served) / all;
+}
+
 // Rule Fault: the day counts 0 if no request is served.
 int PlayForeignHeartbeat(fleet& site, recorder& record, bool trouble) {
   const time_point begin = clock_type::now();
@@ -288,55 +432,106 @@
     SendForeignHeartbeats(site, record);
   }
   std::this_thread::sleep_until(begin + kTrafficStart);
-  std::mt19937_64 random(39);
-  std::mutex mutex;
-  std::map<int, int> statuses;
-  std::vector<std::thread> clients;
-  for (time_point next = clock_type::now();
-       next < begin + kTrafficStart + kTrafficLength; next += kJobInterval) {
-    std::this_thread::sleep_until(next);
-    const std::size_t entry = clients.size() % kEntries;
-    clients.emplace_back([&, entry, id = RandomJobId(random)] {
-      const int status = SubmitJob(site.EntryPort(entry), id);
-      record.Write("client job=" + id + " entry=" + std::to_string(entry) +
-                   " -> " +
-                   (status == 0 ? "no answer" : std::to_string(status)));
-      const std::lock_guard<std::mutex> lock(mutex);
-      ++statuses[status];
-    });
-  }
-  for (std::thread& client : clients) {
-    client.join();
-  }
+  const auto statuses =
+      traffic(site, record)
+          .Play({0, 1}, begin + kTrafficStart + kTrafficLength);
   if (!site.AreAllRunning()) {
     record.Write("a process has ended by itself");
-    return kBroken;
-  }
-  std::string summary;
-  for (const auto& [status, count] : statuses) {
-    summary += " " + std::to_string(status) + ":" + std::to_string(count);
+    return kCannotRun;
   }
+  std::string heartbeats;
   for (const auto& minion : site.minions()) {
-    summary += " heartbeats of " + minion->id() +
-               " acknowledged:" + std::to_string(minion->acknowledged());
+    heartbeats += " heartbeats of " + minion->id() +
+                  " acknowledged:" + std::to_string(minion->acknowledged());
   }
-  record.Write("answers by status:" + summary);
-  const bool is_broken = statuses[200] == 0;
+  record.Write("answers by status:" + Summary(statuses) + heartbeats);
+  const bool is_broken = ServedShare(statuses) == 0;
   record.Write(is_broken ? "Fault broken: no request was served"
                          : "Fault held: requests were served");
   return is_broken ? kBroken : kHeld;
 }
 
-int Play(const std::string& scenario,
+// Rule RECOVER: of the requests sent later than recovery_s after the machines
+// are back, less than a quarter is served, though a quarter or more was before
+// the final fault. In the final fault all processes are killed, and the
+// machines of the seeds are removed for good.
+int PlayLostSeeds(fleet& site, recorder& record, bool trouble) {
+  const time_point begin = clock_type::now();
+  const std::vector<std::size_t> all{0, 1, 2, 3, 4, 5};
+  if (!site.Start() || !site.WaitUntilReady(kReadyLimit)) {
+    record.Write("the fleet is not ready");
+    return kCannotRun;
+  }
+  traffic clients(site, record);
+  std::this_thread::sleep_until(begin + kTrafficStart);
+  const auto before = clients.Play(all, begin + kFaultAfter);
+  record.Write("before the fault, answers by status:" + Summary(before));
+  if (ServedShare(before) < 0.25) {
+    return kCannotRun;
+  }
+  std::vector<std::size_t> remaining = all;
+  if (trouble) {
+    site.KillAll();
+    record.Write("all processes are killed; entries 0 to 2 are removed");
+    std::this_thread::sleep_for(kRestartDelay);
+    remaining = {3, 4, 5};
+    for (const std::size_t entry : remaining) {
+      site.StartEntry(entry);
+    }
+    for (std::size_t i = 0; i < kAgents; ++i) {
+      site.StartAgent(i);
+    }
+    record.Write("entries 3 to 5 and all agents are started again");
+  }
+  const time_point back = clock_type::now();
+  if (trouble) {
+    // The settings follow what has happened to the machines with this lag.
+    std::this_thread::sleep_until(back + kSeedLag);
+    site.SetSeeds(remaining);
+  }
+  std::this_thread::sleep_until(back + kRecovery);
+  const auto after = clients.Play(remaining, clock_type::now() + kJudgedLength);
+  if (!site.AreAllRunning()) {
+    record.Write("a process has ended by itself");
+    return kCannotRun;
+  }
+  const auto ready =
+      std::count_if(remaining.begin(), remaining.end(),
+                    [&site](std::size_t entry) { return site.IsReady(entry); });
+  record.Write(
+      "from 12 s after the restart, answers by status:" + Summary(after) +
+      "; entries that are ready: " + std::to_string(ready) + " of " +
+      std::to_string(remaining.size()));
+  const bool is_broken = ServedShare(after) < 0.25;
+  record.Write(is_broken ? "RECOVER broken: less than a quarter was served"
+                         : "RECOVER held");
+  return is_broken ? kBroken : kHeld;
+}
+
+struct scenario {
+  const char* name;
+  std::size_t entries;
+  int (*play)(fleet& site, recorder& record, bool trouble);
+};
+
+constexpr scenario kScenarios[] = {
+    {"foreign_heartbeat", 2, &PlayForeignHeartbeat},
+    {"lost_seeds", 2 * kSeeds, &PlayLostSeeds},
+};
+
+int Play(const std::string& name,
          const std::string& program,
          const std::string& record_path,
          bool trouble) {
-  recorder record(record_path);
-  fleet site(program, record);
-  if (scenario == "foreign_heartbeat") {
-    return PlayForeignHeartbeat(site, record, trouble);
+  for (const scenario& item : kScenarios) {
+    if (name == item.name) {
+      auto& record = *new recorder(record_path);
+      auto& site = *new fleet(program, record, item.entries);
+      const int result = item.play(site, record, trouble);
+      site.End();
+      return result;
+    }
   }
-  record.Write("unknown scenario " + scenario);
   return kCannotRun;
 }
 
