--- a/review/fleet-2/http.hpp
+++ b/review/fleet-2/http.hpp
@@ -17,6 +17,7 @@
 #include <cstring>
 #include <functional>
 #include <map>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <thread>
@@ -212,4 +213,83 @@
   return answer;
 }
 
+// The link of one machine to a service: a proxy that passes on what the service
+// sends at `bits_per_s` for all its connections together.
+class slow_link {
+ public:
+  slow_link(std::uint16_t target, double bits_per_s)
+      : target_(target), bits_per_s_(bits_per_s) {}
+
+  bool Start(std::uint16_t port) {
+    const int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in address = Loopback(port);
+    if (bind(listener, reinterpret_cast<const sockaddr*>(&address),
+             sizeof(address)) != 0 ||
+        listen(listener, 512) != 0) {
+      close(listener);
+      return false;
+    }
+    std::thread([this, listener] {
+      while (true) {
+        const int fd = accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
+        if (fd >= 0) {
+          std::thread([this, fd] { Forward(fd); }).detach();
+        }
+      }
+    }).detach();
+    return true;
+  }
+
+ private:
+  void Forward(int client) {
+    const int service = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in address = Loopback(target_);
+    if (connect(service, reinterpret_cast<const sockaddr*>(&address),
+                sizeof(address)) == 0) {
+      // A small window, as on the links of the deployment.
+      const int window = 64 * 1024;
+      setsockopt(client, SOL_SOCKET, SO_SNDBUF, &window, sizeof(window));
+      std::thread up([client, service] { Pump(client, service, nullptr); });
+      Pump(service, client, this);
+      up.join();
+    }
+    close(client);
+    close(service);
+  }
+
+  static void Pump(int from, int to, slow_link* link) {
+    char bytes[8192];
+    ssize_t count = 0;
+    while ((count = recv(from, bytes, sizeof(bytes), 0)) > 0) {
+      if (link != nullptr) {
+        link->Wait(static_cast<std::size_t>(count));
+      }
+      if (!SendAll(to, std::string(bytes, static_cast<std::size_t>(count)))) {
+        break;
+      }
+    }
+    shutdown(from, SHUT_RDWR);
+    shutdown(to, SHUT_RDWR);
+  }
+
+  // Waits until `size` bytes have passed the link.
+  void Wait(std::size_t size) {
+    const std::chrono::duration<double> time(8.0 * static_cast<double>(size) /
+                                             bits_per_s_);
+    time_point end;
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      free_at_ = std::max(free_at_, clock_type::now()) +
+                 std::chrono::duration_cast<clock_type::duration>(time);
+      end = free_at_;
+    }
+    std::this_thread::sleep_until(end);
+  }
+
+  const std::uint16_t target_;
+  const double bits_per_s_;
+  std::mutex mutex_;
+  time_point free_at_;
+};
+
 }  // namespace review2
--- a/review/fleet-2/main.cpp
+++ b/review/fleet-2/main.cpp
@@ -26,6 +26,8 @@
 constexpr int kCannotRun = 2;
 
 constexpr std::size_t kAgents = 4;
+// Bandwidth of the link of an edge machine.
+constexpr double kLinkBitsPerSecond = 25e6;
 // The settings name the addresses of at most three entries to an agent.
 constexpr std::size_t kSeeds = 3;
 
@@ -40,6 +42,13 @@
 constexpr milliseconds kDeadline{1500};
 constexpr std::chrono::seconds kReadyLimit(5);
 
+// Configurations in quick succession, and an evacuation among them.
+constexpr int kFirstVersion = 7;
+constexpr int kMoreRoutes = 3 * 1400;
+constexpr milliseconds kStormLength{2000};
+constexpr milliseconds kStormGap{80};
+constexpr std::chrono::seconds kEvacuateBound(5);  // Bound `evacuate_ms`.
+
 // The final fault of a day, and what follows it.
 constexpr std::chrono::seconds kFaultAfter(24);
 constexpr milliseconds kRestartDelay{500};
@@ -127,8 +136,9 @@
   bool is_killed_ = false;
 };
 
-QJsonObject FirstConfig() {
-  const QJsonObject route{
+// A configuration with `more` routes beside the one that is used.
+QJsonObject MakeConfig(int version, int more = 0) {
+  QJsonObject route{
       {QLatin1String("name"), QLatin1String("r-wrr6x73")},
       {QLatin1String("host"), QLatin1String(kHost)},
       {QLatin1String("prefix"), QLatin1String(kPrefix)},
@@ -139,14 +149,22 @@
       {QLatin1String("service"), QLatin1String(minion_standin::kService)},
       {QLatin1String("max_attempts"), 3},
       {QLatin1String("slack_factor"), 1.6}};
+  QJsonArray routes{route};
+  for (int i = 0; i < more; ++i) {
+    const QString number = QString::number(1000000 + i);
+    route[QLatin1String("name")] = QLatin1String("r-") + number;
+    route[QLatin1String("prefix")] =
+        QLatin1String("/q") + number + QLatin1Char('/');
+    routes.append(route);
+  }
   const QJsonObject service{
       {QLatin1String("name"), QLatin1String(minion_standin::kService)},
       {QLatin1String("health_path"), QLatin1String("/health")},
       {QLatin1String("max_connections"), 64},
       {QLatin1String("enforces_capacity"), true},
       {QLatin1String("standby"), false}};
-  return {{QLatin1String("version"), 7},
-          {QLatin1String("routes"), QJsonArray{route}},
+  return {{QLatin1String("version"), version},
+          {QLatin1String("routes"), routes},
           {QLatin1String("services"), QJsonArray{service}},
           {QLatin1String("limits"), QJsonObject()}};
 }
@@ -157,7 +175,7 @@
   fleet(std::string program, recorder& record, std::size_t entries)
       : program_(std::move(program)),
         record_(record),
-        ports_(FreePorts(1 + 3 * entries + 2 * kAgents)),
+        ports_(FreePorts(1 + 4 * entries + 2 * kAgents)),
         entries_(entries),
         agents_(kAgents) {
     std::string folder = "/tmp/review-2-XXXXXX";
@@ -178,13 +196,18 @@
   }
 
   bool Start() {
-    store_.Put("op/config", FirstConfig());
+    store_.Put("op/config", MakeConfig(kFirstVersion));
     if (!Serve(StorePort(), [this](const http_message& request) {
           return store_.Handle(request);
         })) {
       return false;
     }
     for (std::size_t i = 0; i < entries_.size(); ++i) {
+      links_.push_back(
+          std::make_unique<slow_link>(StorePort(), kLinkBitsPerSecond));
+      if (!links_.back()->Start(LinkPort(i))) {
+        return false;
+      }
       StartEntry(i);
     }
     for (std::size_t i = 0; i < kAgents; ++i) {
@@ -209,7 +232,7 @@
             "JAYRILL_HTTP_LISTEN=" + Address(EntryPort(i)),
             "JAYRILL_HEALTH_LISTEN=" + Address(EntryPort(i, 1)),
             "JAYRILL_RPC_LISTEN=" + Address(EntryPort(i, 2)),
-            "JAYRILL_STORE_ENDPOINTS=" + Address(StorePort()),
+            "JAYRILL_STORE_ENDPOINTS=" + Address(LinkPort(i)),
             "JAYRILL_REPEAT_AFTER_MS=1300", "JAYRILL_PROCESSOR_CORES=0.12",
             "JAYRILL_SLOW_START_MS=0", "JAYRILL_STOP_DELAY_MS=2000"});
   }
@@ -299,6 +322,7 @@
            std::all_of(agents_.begin(), agents_.end(), &fleet::IsAsLeft);
   }
 
+  store_standin& store() { return store_; }
   std::uint16_t EntryPort(std::size_t i, std::size_t which = 0) const {
     return ports_[1 + 3 * i + which];
   }
@@ -316,6 +340,10 @@
     return kZones[i % std::size(kZones)];
   }
   std::uint16_t StorePort() const { return ports_[0]; }
+  // Port of the link between an entry and the store.
+  std::uint16_t LinkPort(std::size_t entry) const {
+    return ports_[1 + 3 * entries_.size() + 2 * kAgents + entry];
+  }
   std::uint16_t AgentPort(std::size_t i, std::size_t which = 0) const {
     return ports_[1 + 3 * entries_.size() + 2 * i + which];
   }
@@ -326,6 +354,7 @@
   std::string settings_path_;
   std::string seeds_;  // IP:port,...
   store_standin store_;
+  std::vector<std::unique_ptr<slow_link>> links_;
   std::vector<std::unique_ptr<minion_standin>> minions_;
   std::vector<std::unique_ptr<role_process>> entries_;
   std::vector<std::unique_ptr<role_process>> agents_;
@@ -511,6 +540,54 @@
   return is_broken ? kBroken : kHeld;
 }
 
+// Rule EVAC: a machine in touch starts a task in a zone later than evacuate_ms
+// after its evacuation was acknowledged. The evacuation follows a series of
+// large configurations; without the disruption these have one route.
+int PlayLargeConfigurations(fleet& site, recorder& record, bool trouble) {
+  const time_point begin = clock_type::now();
+  if (!site.Start() || !site.WaitUntilReady(kReadyLimit)) {
+    record.Write("the fleet is not ready");
+    return kCannotRun;
+  }
+  std::this_thread::sleep_until(begin + kTrafficStart);
+  const std::string zone = site.minions().front()->zone();
+  time_point acknowledged = time_point::max();
+  std::thread operation([&] {
+    std::this_thread::sleep_for(std::chrono::seconds(2));
+    const time_point first = clock_type::now();
+    int version = kFirstVersion;
+    for (time_point next = first; next < first + kStormLength;
+         next += kStormGap) {
+      std::this_thread::sleep_until(next);
+      site.store().Put("op/config",
+                       MakeConfig(++version, trouble ? kMoreRoutes : 0));
+    }
+    record.Write("operator: configurations up to version " +
+                 std::to_string(version) + " are acknowledged");
+    site.store().Put("op/evacuate/" + zone, QJsonObject());
+    acknowledged = clock_type::now();
+    record.Write("operator: the evacuation of " + zone + " is acknowledged");
+  });
+  const auto statuses =
+      traffic(site, record)
+          .Play({0, 1}, begin + kTrafficStart + kTrafficLength);
+  operation.join();
+  if (!site.AreAllRunning()) {
+    record.Write("a process has ended by itself");
+    return kCannotRun;
+  }
+  int late = 0;
+  for (const auto& minion : site.minions()) {
+    late += minion->zone() == zone
+                ? minion->StartsAfter(acknowledged + kEvacuateBound)
+                : 0;
+  }
+  record.Write("answers by status:" + Summary(statuses) + "; starts in " +
+               zone + " later than 5 s after that: " + std::to_string(late));
+  record.Write(late > 0 ? "EVAC broken" : "EVAC held");
+  return late > 0 ? kBroken : kHeld;
+}
+
 struct scenario {
   const char* name;
   std::size_t entries;
@@ -519,6 +596,7 @@
 
 constexpr scenario kScenarios[] = {
     {"foreign_heartbeat", 2, &PlayForeignHeartbeat},
+    {"large_configurations", 2, &PlayLargeConfigurations},
     {"lost_seeds", 2 * kSeeds, &PlayLostSeeds},
 };
 
--- a/review/fleet-2/platform.hpp
+++ b/review/fleet-2/platform.hpp
@@ -120,6 +120,13 @@
   }
 
  private:
+  static constexpr std::chrono::seconds kRetention{20};
+
+  struct change {
+    qint64 revision = 0;
+    time_point at;
+    QJsonObject item;
+  };
   struct lease {
     time_point until;
     qint64 ttl_ms = 0;
@@ -138,21 +145,29 @@
                     {QLatin1String("revision"), revision_},
                     {QLatin1String("created"), created},
                     {QLatin1String("lease"), lease}};
-    history_.emplace_back(revision_, items_[key]);
-    changed_.notify_all();
+    AddToHistory(items_[key]);
   }
 
   void Remove(const QString& key) {
     if (items_.erase(key) > 0) {
       ++revision_;
-      history_.emplace_back(revision_,
-                            QJsonObject{{QLatin1String("key"), key},
-                                        {QLatin1String("revision"), revision_},
-                                        {QLatin1String("deleted"), true}});
-      changed_.notify_all();
+      AddToHistory({{QLatin1String("key"), key},
+                    {QLatin1String("revision"), revision_},
+                    {QLatin1String("deleted"), true}});
     }
   }
 
+  // Adds a change and drops those that are older than the retention.
+  void AddToHistory(const QJsonObject& item) {
+    const time_point now = clock_type::now();
+    history_.push_back({revision_, now, item});
+    while (now - history_.front().at > kRetention) {
+      dropped_ = history_.front().revision;
+      history_.erase(history_.begin());
+    }
+    changed_.notify_all();
+  }
+
   void EndLeases() {
     const time_point now = clock_type::now();
     for (auto it = leases_.begin(); it != leases_.end();) {
@@ -191,8 +206,16 @@
                    milliseconds wait) {
     const time_point until = clock_type::now() + wait;
     while (true) {
+      while (!history_.empty() &&
+             clock_type::now() - history_.front().at > kRetention) {
+        dropped_ = history_.front().revision;
+        history_.erase(history_.begin());
+      }
+      if (after < dropped_) {
+        return {410};
+      }
       QJsonArray events;
-      for (const auto& [revision, item] : history_) {
+      for (const auto& [revision, at, item] : history_) {
         if (revision > after &&
             item[QLatin1String("key")].toString().startsWith(prefix)) {
           events.append(item);
@@ -250,7 +273,8 @@
   qint64 last_lease_ = 0;
   std::map<QString, QJsonObject> items_;
   std::map<qint64, lease> leases_;
-  std::vector<std::pair<qint64, QJsonObject>> history_;
+  std::vector<change> history_;
+  qint64 dropped_ = 0;  // Newest revision that the history has no more.
 };
 
 // A sound minion: runs tasks under leases, lists their ends and sends
@@ -281,6 +305,14 @@
 
   const std::string& id() const { return id_; }
   std::uint16_t agent_port() const { return agent_port_; }
+  const std::string& zone() const { return zone_; }
+  // Starts later than `when`.
+  int StartsAfter(time_point when) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return static_cast<int>(
+        std::count_if(starts_.begin(), starts_.end(),
+                      [when](time_point start) { return start > when; }));
+  }
   // Heartbeats that the agent has acknowledged.
   int acknowledged() const { return acknowledged_; }
 
@@ -397,6 +429,7 @@
     const QString spec = body[QLatin1String("spec")].toString();
     const time_point now = clock_type::now();
     runs_[key] = {now, now + milliseconds(std::max(spec.toInt(), 1))};
+    starts_.push_back(now);
     Record("start", key);
     return {200, ToText(WithClock({}))};
   }
@@ -500,6 +533,7 @@
   qint64 lease_end_ = 0;
   qint64 last_end_ = 0;
   std::map<run_key, run> runs_;
+  std::vector<time_point> starts_;
   std::map<QString, qint64> newest_;
   std::map<qint64, QJsonArray> ends_;
 };
