--- a/fuzz/platform_decode_fuzz.cc
+++ b/fuzz/platform_decode_fuzz.cc
@@ -34,7 +34,7 @@
   const auto beat = jayrill::platform::ParseHeartbeat(
       "i", text, jayrill::wall_time(std::chrono::hours(24 * 365 * 50)));
   if (beat) {
-    Require(!beat->minion.service.empty() && beat->minion.port != 0,
+    Require(!beat->service.empty() && beat->port != 0,
             "an announced minion has a service and a port");
   }
 }
--- a/src/jayrill/agent/agent_core.cc
+++ b/src/jayrill/agent/agent_core.cc
@@ -25,6 +25,12 @@
       departure_(settings_.announce_ttl) {}
 
 void agent_core::Announce(const announcement& minion) {
+  if (!IsServiceKnown(minion.service)) {
+    LOG_EVERY_N(WARNING, 20)
+        << "agent: ignored an announcement instance=" << minion.instance
+        << " the configuration does not name its service=" << minion.service;
+    return;
+  }
   const bool has_returned = departure_.has_left();
   if (!departure_.Accept(minion, time_.Now())) {
     return;
@@ -52,6 +58,11 @@
   host_.StatusChanged();
 }
 
+bool agent_core::IsServiceKnown(const std::string& service) const {
+  return routed_services_.empty() || routed_services_.contains(service) ||
+         (minion_ && minion_->service == service);
+}
+
 void agent_core::Leave() {
   LOG(INFO) << "agent: the minion leaves running=" << running_.size()
             << " queued=" << queue_.waiting();
@@ -75,6 +86,10 @@
   }
   config_ = offered;
   data_centre_out_ = decoded->IsOut(settings_.data_centre);
+  routed_services_.clear();
+  for (const auto& [name, route] : decoded->routes) {
+    routed_services_.insert(route.service);
+  }
   LOG(INFO) << "config: adopted revision=" << config_.revision.value
             << " data_centre_out=" << data_centre_out_;
   if (data_centre_out_) {
--- a/src/jayrill/agent/agent_core.h
+++ b/src/jayrill/agent/agent_core.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -189,6 +190,9 @@
   };
 
   bool IsAnnounced() const;
+  /// \returns false for a service that no route names, where services have
+  /// routes. The present minion keeps its service while its routes come and go.
+  bool IsServiceKnown(const std::string& service) const;
   bool IsRetiring(incarnation entry) const;
 
   /// \returns how long a start with \p needs that arrives now is expected to
@@ -246,6 +250,8 @@
   bool stopping_ = false;
   config_copy config_;
   bool data_centre_out_ = false;
+  /// Services that the routes of the configuration name.
+  std::set<std::string> routed_services_;
   std::chrono::milliseconds heartbeat_{1000};
   agent_counters counters_;
 };
--- a/src/jayrill/agent/agent_process.cc
+++ b/src/jayrill/agent/agent_process.cc
@@ -16,6 +16,7 @@
       time_(time),
       departure_(settings_.announce_ttl),
       metrics_text_([this] { return agent::internal::ToText(view()); }),
+      admission_(AdmissionHost()),
       minion_port_(overrides.minion
                        ? overrides.minion(MinionListener())
                        : std::make_unique<minion_client>(settings_,
@@ -93,28 +94,62 @@
 }
 
 announce_api::listener agent_process::AnnounceListener() {
-  return {[this](announcement minion) {
-            if (!departure_.Accept(minion, time_.Now())) {
-              return;
-            }
-            minion_port_->SetMinionLeft(false);
-            minion_port_->OnAnnounced(minion);
-            PostToLoop([minion = std::move(minion)](agent_loop& loop) {
-              loop.core().Announce(minion);
-            });
-          },
-          [this] {
-            departure_.OnLeave(time_.Now());
-            minion_port_->SetMinionLeft(true);
-            PostToLoop([](agent_loop& loop) { loop.core().Leave(); });
-            return minion_port_->running();
+  return {[this](announcement minion) { admission_.Offer(std::move(minion)); },
+          [this](const std::string& instance) { return OnLeave(instance); },
+          [this](const error& reason) {
+            OnIgnored("instance= " + ToString(reason));
           },
           [this] { return metrics_text_(); }};
 }
 
+minion_admission::host agent_process::AdmissionHost() {
+  return {[this](const announcement& minion,
+                 const minion_admission::answer_function& done) {
+            minion_port_->Identify(minion, done);
+          },
+          [this](announcement minion) { OnAccepted(std::move(minion)); },
+          [this](const announcement& minion, const std::string& reason) {
+            OnIgnored("instance=" + minion.instance +
+                      " service=" + minion.service + " address=" + minion.host +
+                      ":" + std::to_string(minion.port) + " " + reason);
+          }};
+}
+
+void agent_process::OnAccepted(announcement minion) {
+  if (!departure_.Accept(minion, time_.Now())) {
+    return;
+  }
+  minion_port_->SetMinionLeft(false);
+  minion_port_->OnAnnounced(minion);
+  PostToLoop([minion = std::move(minion)](agent_loop& loop) {
+    loop.core().Announce(minion);
+  });
+}
+
+std::uint32_t agent_process::OnLeave(const std::string& instance) {
+  if (!admission_.IsPresent(instance)) {
+    OnIgnored("instance=" + instance + " leaves, but is not the present one");
+    return minion_port_->running();
+  }
+  departure_.OnLeave(time_.Now());
+  minion_port_->SetMinionLeft(true);
+  PostToLoop([](agent_loop& loop) { loop.core().Leave(); });
+  return minion_port_->running();
+}
+
+void agent_process::OnIgnored(const std::string& detail) {
+  ++ignored_announcements_;
+  if (ignored_log_limit_.Allows(time_.Now())) {
+    LOG(WARNING) << "agent: ignored an announcement " << detail
+                 << ignored_log_limit_.TakeLinesLeftOutField();
+  }
+}
+
 agent_view agent_process::view() const {
   const std::lock_guard<std::mutex> lock(view_mutex_);
-  return view_;
+  agent_view current = view_;
+  current.ignored_announcements = ignored_announcements_;
+  return current;
 }
 
 }  // namespace jayrill
--- a/src/jayrill/agent/agent_process.h
+++ b/src/jayrill/agent/agent_process.h
@@ -2,6 +2,8 @@
 #define JAYRILL_AGENT_AGENT_PROCESS_H_
 
 #include <QObject>
+#include <atomic>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -12,11 +14,13 @@
 #include "jayrill/agent/agent_counters.h"
 #include "jayrill/agent/agent_settings.h"
 #include "jayrill/agent/announce_api.h"
+#include "jayrill/agent/minion_admission.h"
 #include "jayrill/agent/minion_client.h"
 #include "jayrill/agent/minion_departure.h"
 #include "jayrill/agent/minion_port.h"
 #include "jayrill/base/clock.h"
 #include "jayrill/base/error.h"
+#include "jayrill/base/log_limit.h"
 #include "jayrill/base/work_queue.h"
 #include "jayrill/job/task_result.h"
 
@@ -31,6 +35,8 @@
   agent_counters counters;
   minion_status status;
   std::size_t connected_entries = 0;
+  /// Announcements that were malformed, late, or not of a minion that answers.
+  std::uint64_t ignored_announcements = 0;
 
   auto operator<=>(const agent_view&) const = default;
 };
@@ -96,6 +102,12 @@
   void PostToQt(std::function<void()> work);
   minion_port::listener MinionListener();
   announce_api::listener AnnounceListener();
+  minion_admission::host AdmissionHost();
+  void OnAccepted(announcement minion);
+  /// \returns the number of tasks that still run.
+  std::uint32_t OnLeave(const std::string& instance);
+  /// Counts and logs an announcement or notice of leaving without effect.
+  void OnIgnored(const std::string& detail);
 
   const agent_settings settings_;
   const clock& time_;
@@ -106,6 +118,9 @@
   agent_loop* loop_ = nullptr;  // Used on the kj thread only.
   mutable std::mutex view_mutex_;
   agent_view view_;
+  std::atomic<std::uint64_t> ignored_announcements_ = 0;
+  log_limit ignored_log_limit_;
+  minion_admission admission_;
   std::unique_ptr<minion_port> minion_port_;
   announce_api api_;
   std::thread thread_;
--- a/src/jayrill/agent/announce_api.cc
+++ b/src/jayrill/agent/announce_api.cc
@@ -68,6 +68,7 @@
   auto parsed = ParseAnnouncement(
       {body.constData(), static_cast<std::size_t>(body.size())});
   if (!parsed) {
+    listener_.on_malformed(parsed.error());
     return ErrorResponse(parsed.error());
   }
   listener_.on_announce(std::move(*parsed));
@@ -77,7 +78,7 @@
 
 QHttpServerResponse announce_api::HandleLeave() {
   return QJsonObject{
-      {QStringLiteral("running"), static_cast<qint64>(listener_.on_leave())}};
+      {QStringLiteral("running"), static_cast<qint64>(listener_.on_leave(""))}};
 }
 
 }  // namespace jayrill
--- a/src/jayrill/agent/announce_api.h
+++ b/src/jayrill/agent/announce_api.h
@@ -20,9 +20,12 @@
  public:
   struct listener {
     std::function<void(announcement minion)> on_announce;
-    /// Called when the minion says that it leaves.
+    /// Called when the minion \p instance says that it leaves; empty: the
+    /// present one does.
     /// \returns the number of its tasks that still run.
-    std::function<std::uint32_t()> on_leave;
+    std::function<std::uint32_t(const std::string& instance)> on_leave;
+    /// Called when an announcement cannot be read.
+    std::function<void(const error& reason)> on_malformed;
     /// \returns the text of GET /metrics.
     std::function<std::string()> metrics;
   };
--- a/src/jayrill/agent/announcement.h
+++ b/src/jayrill/agent/announcement.h
@@ -25,6 +25,8 @@
   std::string host;
   std::string instance;    ///< Name of the minion; empty: it has none.
   std::uint64_t life = 0;  ///< Incarnation; grows with each start.
+  /// Grows with each announcement of one life; 0: they are not numbered.
+  std::uint64_t sequence = 0;
   /// Capacity that its tasks share; 0 is not limited.
   resource_amount room;
   bool draining = false;  ///< It will stop and takes no new tasks.
--- a/src/jayrill/agent/internal/counters_text.cc
+++ b/src/jayrill/agent/internal/counters_text.cc
@@ -46,6 +46,8 @@
        << "jayrill_agent_slots " << view.status.slots << '\n'
        << "jayrill_agent_queued " << view.status.queued << '\n'
        << "jayrill_agent_config_revision " << view.status.revision.value << '\n'
+       << "jayrill_agent_ignored_announcements_total "
+       << view.ignored_announcements << '\n'
        << "jayrill_agent_connected_entries " << view.connected_entries << '\n';
   return text.str();
 }
--- a/src/jayrill/agent/leased_minion.cc
+++ b/src/jayrill/agent/leased_minion.cc
@@ -10,6 +10,7 @@
 namespace jayrill {
 
 using agent::internal::kMaxRenewalFailures;
+using agent::internal::kReportRetryDelay;
 
 namespace {
 
@@ -36,6 +37,10 @@
 /// and for its run to be stopped after that.
 constexpr std::chrono::milliseconds kLeaseMargin{110};
 
+/// For how long a minion that does not answer is asked who it is. Shorter than
+/// the time between two announcements of one minion.
+constexpr std::chrono::milliseconds kIdentifyLimit{1200};
+
 /// Longest wait of a call for the first report of the minion or for the end of
 /// an older run of its task.
 constexpr std::chrono::milliseconds kSyncLimit{400};
@@ -61,6 +66,36 @@
 
 leased_minion::~leased_minion() = default;
 
+void leased_minion::Identify(const announcement& minion,
+                             const std::function<void(identity_answer)>& done) {
+  IdentifyUntil(minion, time_.Now() + kIdentifyLimit, done);
+}
+
+void leased_minion::IdentifyUntil(
+    const announcement& minion,
+    steady_time give_up_at,
+    const std::function<void(identity_answer)>& done) {
+  control_.Identify(
+      minion, token_,
+      guard_.Wrap([this, minion, give_up_at, done,
+                   sent_token = token_](const result<identity_answer>& answer) {
+        if (!answer && answer.error().kind == error_kind::kConflict) {
+          OnTokenRefused(sent_token);
+        }
+        const identity_answer identity =
+            answer.value_or(identity_answer::kUnknown);
+        if (identity != identity_answer::kUnknown ||
+            time_.Now() >= give_up_at) {
+          done(identity);
+          return;
+        }
+        timers_.After(kReportRetryDelay,
+                      guard_.Wrap([this, minion, give_up_at, done] {
+                        IdentifyUntil(minion, give_up_at, done);
+                      }));
+      }));
+}
+
 void leased_minion::OnAnnounced(const announcement& minion) {
   const bool has_moved =
       minion_ && (minion_->host != minion.host || minion_->port != minion.port);
--- a/src/jayrill/agent/leased_minion.h
+++ b/src/jayrill/agent/leased_minion.h
@@ -62,6 +62,10 @@
 
   void Run(const task_call& call) override;
   void Stop(std::uint64_t call) override;
+  /// Asks again while there is no answer, for less than the time between two
+  /// announcements of a minion.
+  void Identify(const announcement& minion,
+                const std::function<void(identity_answer)>& done) override;
   void OnAnnounced(const announcement& minion) override;
   void SetMinionLeft(bool left) override {
     minion_left_ = left;
@@ -121,6 +125,10 @@
     steady_time at;
   };
 
+  /// Asks \p minion until it answers or \p give_up_at has passed.
+  void IdentifyUntil(const announcement& minion,
+                     steady_time give_up_at,
+                     const std::function<void(identity_answer)>& done);
   /// Orders a run of \p call. If an older run of the same task is still there,
   /// stops that one first and lets the call wait.
   void BeginRun(const task_call& call);
--- a/src/jayrill/agent/minion_port.h
+++ b/src/jayrill/agent/minion_port.h
@@ -5,6 +5,7 @@
 #include <functional>
 
 #include "jayrill/agent/announcement.h"
+#include "jayrill/agent/run_control.h"
 #include "jayrill/agent/task_call.h"
 #include "jayrill/job/task_result.h"
 
@@ -31,6 +32,14 @@
   /// case.
   virtual void Stop(std::uint64_t /*call*/) {}
 
+  /// Finds out whether \p minion is what answers at its address. \p done
+  /// receives the answer once, now or later, unless this object is destroyed
+  /// first. A port that cannot ask takes each announcement as it is.
+  virtual void Identify(const announcement& /*minion*/,
+                        const std::function<void(identity_answer)>& done) {
+    done(identity_answer::kSame);
+  }
+
   /// The minion has announced itself or renewed its announcement.
   virtual void OnAnnounced(const announcement& /*minion*/) {}
 
--- a/src/jayrill/agent/run_control.h
+++ b/src/jayrill/agent/run_control.h
@@ -44,6 +44,13 @@
   kLost,        ///< No answer; the order may still be carried out later.
 };
 
+/// Whether what answers at an address is the minion that was asked for.
+enum class identity_answer {
+  kSame,     ///< It is that instance in that life.
+  kOther,    ///< It is something else.
+  kUnknown,  ///< There is no answer that tells.
+};
+
 /// How a run has ended; kLapsed: its lease has expired.
 enum class run_end { kDone, kFailed, kStopped, kLapsed };
 
@@ -105,6 +112,14 @@
  public:
   virtual ~run_control() = default;
 
+  /// Asks the address of \p minion whether it is that instance in that life,
+  /// without any effect on its runs. \p done receives an error of kind
+  /// kConflict when the minion has seen a higher token than \p fencing_token.
+  /// Later calls go where they went before.
+  virtual void Identify(const announcement& minion,
+                        std::uint64_t fencing_token,
+                        std::function<void(result<identity_answer>)> done) = 0;
+
   /// Sends all further calls to \p minion.
   virtual void SetMinion(const announcement& minion) = 0;
 
--- a/tests/platform/minion_calls_test.cc
+++ b/tests/platform/minion_calls_test.cc
@@ -59,6 +59,52 @@
                                 order_answer::kLost}),
     [](const auto& param) { return param.param.name; });
 
+struct identity_case {
+  std::string name;
+  std::string status;
+  std::string body;
+  result<identity_answer> answer;
+};
+
+class identity_test : public testing::TestWithParam<identity_case> {};
+
+// Guards against a minion that another writer has named and that counts as
+// found, and against one that is only busy and counts as another one.
+TEST_P(identity_test, OnlyTheMinionItselfIsFound) {
+  const order_server server(GetParam().status, GetParam().body);
+  announcement minion = server.Minion();
+  minion.life = 20;
+  minion_calls calls;
+  std::optional<result<identity_answer>> answer;
+  calls.Identify(minion, 7, [&](const auto& found) { answer = found; });
+  ASSERT_TRUE(WaitFor([&] { return answer.has_value(); }));
+  EXPECT_EQ(answer->has_value(), GetParam().answer.has_value());
+  EXPECT_EQ(answer->value_or(identity_answer::kUnknown),
+            GetParam().answer.value_or(identity_answer::kUnknown));
+  EXPECT_TRUE(server.last_header().contains("X-Target-Instance: i-7f3a91c2"));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    answers,
+    identity_test,
+    testing::Values(
+        identity_case{"the_minion", "200 OK", R"({"clock_ms":5,"born":20})",
+                      identity_answer::kSame},
+        identity_case{"another_life", "200 OK", R"({"clock_ms":5,"born":19})",
+                      identity_answer::kOther},
+        identity_case{"no_minion", "200 OK", "{}", identity_answer::kOther},
+        identity_case{"another_instance", "421 Misdirected Request", "{}",
+                      identity_answer::kOther},
+        identity_case{"no_such_path", "404 Not Found", "{}",
+                      identity_answer::kOther},
+        identity_case{"busy", "429 Too Many Requests", "{}",
+                      identity_answer::kUnknown},
+        identity_case{"not_healthy", "503 Service Unavailable", "{}",
+                      identity_answer::kUnknown},
+        identity_case{"fenced", "409 Conflict", R"({"reason":"fence"})",
+                      MakeError(error_kind::kConflict, "", "")}),
+    [](const auto& param) { return param.param.name; });
+
 /// Sends one call of a kind and counts the answers.
 using send_function = void (*)(minion_calls& calls, int& answers);
 
--- a/tests/support/minion_standin.h
+++ b/tests/support/minion_standin.h
@@ -133,6 +133,15 @@
   /// While it refuses connections, as after its end, no call is carried out.
   void SetRefusesConnections(bool refuses) { refuses_connections_ = refuses; }
 
+  void Identify(const announcement& minion,
+                std::uint64_t /*fencing_token*/,
+                std::function<void(result<identity_answer>)> done) override {
+    timers_.After(kRoundTrip, [this, minion, done = std::move(done)] {
+      const bool is_same = IsAddressed(minion.instance) && minion.life == life_;
+      done(is_same ? identity_answer::kSame : identity_answer::kOther);
+    });
+  }
+
   void SetMinion(const announcement& minion) override {
     target_ = minion.instance;
   }
--- a/tests/unit/report_order_test.cc
+++ b/tests/unit/report_order_test.cc
@@ -16,6 +16,12 @@
 /// says so. A stop is acknowledged at once.
 class minion_with_held_reports final : public run_control {
  public:
+  void Identify(const announcement& /*minion*/,
+                std::uint64_t /*fencing_token*/,
+                std::function<void(result<identity_answer>)> done) override {
+    done(identity_answer::kSame);
+  }
+
   void SetMinion(const announcement& /*minion*/) override {}
 
   void Start(const run_order& order,
--- a/tests/unit/simulated_agent.h
+++ b/tests/unit/simulated_agent.h
@@ -67,6 +67,11 @@
   void After(milliseconds delay, std::function<void()> work) override {
     timers_.After(delay, owner_.Wrap(std::move(work)));
   }
+  void Identify(const announcement& minion,
+                std::uint64_t token,
+                std::function<void(result<identity_answer>)> done) override {
+    minion_.Identify(minion, token, Later(std::move(done)));
+  }
   void SetMinion(const announcement& minion) override {
     minion_.SetMinion(minion);
   }
--- a/tests/unit/stopping_run_test.cc
+++ b/tests/unit/stopping_run_test.cc
@@ -24,6 +24,12 @@
   minion_with_old_run(manual_clock& time, manual_scheduler& timers)
       : time_(time), timers_(timers) {}
 
+  void Identify(const announcement& /*minion*/,
+                std::uint64_t /*fencing_token*/,
+                std::function<void(result<identity_answer>)> done) override {
+    done(identity_answer::kSame);
+  }
+
   void SetMinion(const announcement& /*minion*/) override {}
 
   void Start(const run_order& /*order*/,
@@ -103,6 +109,12 @@
  public:
   explicit minion_that_runs_again(manual_scheduler& timers) : timers_(timers) {}
 
+  void Identify(const announcement& /*minion*/,
+                std::uint64_t /*fencing_token*/,
+                std::function<void(result<identity_answer>)> done) override {
+    done(identity_answer::kSame);
+  }
+
   void SetMinion(const announcement& /*minion*/) override {}
 
   void Start(const run_order& order,
