--- a/src/jayrill/agent/agent_process.cc
+++ b/src/jayrill/agent/agent_process.cc
@@ -24,7 +24,15 @@
                                                          MinionListener())),
       api_(settings_.announce_ttl,
            AnnounceListener(),
-           overrides.announce_routes) {}
+           overrides.announce_routes) {
+  if (overrides.directory != nullptr) {
+    entry_search_.emplace(
+        *overrides.directory, *overrides.timers, random_source::FromSystem(),
+        [this](const found_entries& found) {
+          PostToLoop([found](agent_loop& loop) { loop.OnEntriesFound(found); });
+        });
+  }
+}
 
 agent_process::~agent_process() {
   PostToLoop([](agent_loop& loop) { loop.StopNow(); });
@@ -40,6 +48,9 @@
   LOG(INFO) << "agent: started id=" << settings_.id
             << " data_centre=" << settings_.data_centre
             << " http_port=" << api_.port();
+  if (entry_search_) {
+    entry_search_->SetConnectedEntries(0);
+  }
   thread_ = std::thread([this] { RunLoop(); });
   return {};
 }
@@ -57,10 +68,7 @@
       [this](std::uint64_t call) {
         PostToQt([this, call] { minion_port_->Stop(call); });
       },
-      [this](const agent_view& current) {
-        const std::lock_guard<std::mutex> lock(view_mutex_);
-        view_ = current;
-      });
+      [this](const agent_view& current) { OnView(current); });
   loop_ = &loop;
   loop.Run();
   loop_ = nullptr;
@@ -72,6 +80,16 @@
   });
 }
 
+void agent_process::OnView(const agent_view& current) {
+  const std::lock_guard<std::mutex> lock(view_mutex_);
+  if (entry_search_ && (current.connected_entries != view_.connected_entries)) {
+    PostToQt([this, count = current.connected_entries] {
+      entry_search_->SetConnectedEntries(count);
+    });
+  }
+  view_ = current;
+}
+
 void agent_process::PostToLoop(std::function<void(agent_loop&)> work) {
   inbox_.Post([this, work = std::move(work)] { work(*loop_); });
 }
--- a/src/jayrill/agent/agent_process.h
+++ b/src/jayrill/agent/agent_process.h
@@ -14,6 +14,7 @@
 #include "jayrill/agent/agent_counters.h"
 #include "jayrill/agent/agent_settings.h"
 #include "jayrill/agent/announce_api.h"
+#include "jayrill/agent/entry_search.h"
 #include "jayrill/agent/minion_admission.h"
 #include "jayrill/agent/minion_client.h"
 #include "jayrill/agent/minion_departure.h"
@@ -23,6 +24,7 @@
 #include "jayrill/base/log_limit.h"
 #include "jayrill/base/work_queue.h"
 #include "jayrill/job/task_result.h"
+#include "jayrill/store/scheduler.h"
 
 namespace jayrill {
 
@@ -48,6 +50,10 @@
   /// Adds HTTP routes by which the minion announces itself, besides the routes
   /// of announce_api; empty: adds none.
   announce_api::route_adder announce_routes;
+  /// Where entries are looked up while too few are connected; null: nowhere.
+  entry_directory* directory = nullptr;
+  /// Needed with a directory; runs on the Qt thread.
+  scheduler* timers = nullptr;
 };
 
 /// Runs an agent: the HTTP side (announce API and calls of the minion) and the
@@ -98,6 +104,9 @@
   using agent_loop = agent::internal::agent_loop;
 
   void RunLoop();
+  /// Keeps \p current for view() and tells the search of entries how many are
+  /// connected. Called on the kj thread.
+  void OnView(const agent_view& current);
   void PostToLoop(std::function<void(agent_loop&)> work);
   void PostToQt(std::function<void()> work);
   minion_port::listener MinionListener();
@@ -123,6 +132,7 @@
   minion_admission admission_;
   std::unique_ptr<minion_port> minion_port_;
   announce_api api_;
+  std::optional<entry_search> entry_search_;
   std::thread thread_;
   // Context of the calls that PostToQt queues. Destroyed first, so that no
   // queued call runs on destroyed members.
--- a/src/jayrill/agent/internal/agent_loop.cc
+++ b/src/jayrill/agent/internal/agent_loop.cc
@@ -41,6 +41,7 @@
       link_context_{
           settings, time,  incarnation{random_()},          *io_.provider,
           random_,  core_, [this] { ScheduleLinkUpdate(); }},
+      seeds_(settings.entries),
       tasks_(*this) {
   auto paf = kj::newPromiseAndFulfiller<void>();
   end_promise_ = kj::mv(paf.promise);
@@ -131,7 +132,23 @@
   }
 }
 
-std::set<std::string> agent_loop::WantedEntries() {
+void agent_loop::OnEntriesFound(const found_entries& found) {
+  if (connected_links() >= entry_search::kEnoughEntries) {
+    return;
+  }
+  if (!found.seeds.empty()) {
+    seeds_ = found.seeds;
+  }
+  if (!found.registered.empty()) {
+    found_entries_.clear();
+    for (const entry_endpoint& entry : found.registered) {
+      found_entries_.emplace(entry.address, entry);
+    }
+  }
+  ScheduleLinkUpdate();
+}
+
+std::map<std::string, entry_endpoint> agent_loop::CandidateEntries() {
   std::map<std::string, entry_endpoint> listed;
   for (const auto& [address, link] : links_) {
     for (const entry_endpoint& entry : link->listed_entries()) {
@@ -142,20 +159,32 @@
   }
   // While no entry is connected, those that were known last are dialled.
   if (!listed.empty()) {
-    known_entries_ = std::move(listed);
+    known_entries_ = listed;
+  }
+  if (connected_links() >= entry_search::kEnoughEntries) {
+    found_entries_.clear();
+  }
+  if (found_entries_.empty()) {
+    return known_entries_;
   }
+  listed.insert(found_entries_.begin(), found_entries_.end());
+  return listed;
+}
+
+std::set<std::string> agent_loop::WantedEntries() {
+  const std::map<std::string, entry_endpoint> candidates = CandidateEntries();
   const bool seeds_needed =
-      connected_links() == 0 ||
-      known_entries_.size() + settings_.entries.size() <= settings_.entry_limit;
+      connected_links() < entry_search::kEnoughEntries ||
+      candidates.size() + seeds_.size() <= settings_.entry_limit;
   std::vector<entry_endpoint> entries;
-  entries.reserve(known_entries_.size());
-  for (const auto& [address, entry] : known_entries_) {
+  entries.reserve(candidates.size());
+  for (const auto& [address, entry] : candidates) {
     entries.push_back(entry);
   }
   std::set<std::string> wanted = SelectEntries(
       settings_.id, settings_.data_centre, entries, settings_.entry_limit);
   if (seeds_needed) {
-    wanted.insert(settings_.entries.begin(), settings_.entries.end());
+    wanted.insert(seeds_.begin(), seeds_.end());
   }
   return wanted;
 }
--- a/src/jayrill/agent/internal/agent_loop.h
+++ b/src/jayrill/agent/internal/agent_loop.h
@@ -50,6 +50,9 @@
   /// Makes Run return without a graceful stop.
   void StopNow();
 
+  /// Makes use of what was found while too few entries are connected.
+  void OnEntriesFound(const found_entries& found);
+
   agent_core& core() { return core_; }
 
  private:
@@ -71,9 +74,13 @@
   /// Makes the core check its waiting starts after kWaitCheckInterval.
   void ScheduleWaitCheck();
   /// \returns the addresses of the entries to connect to: those that
-  /// SelectEntries chooses of the listed ones, and the entries from the
-  /// settings while there are few entries or none is connected.
+  /// SelectEntries chooses of the candidates, and the entries from the settings
+  /// while there are few entries or too few are connected.
   std::set<std::string> WantedEntries();
+  /// \returns the entries to choose from, by address: those that connected
+  /// entries have listed last. While too few are connected, those that were
+  /// found as well, and without a connection these alone.
+  std::map<std::string, entry_endpoint> CandidateEntries();
   /// Adds links to wanted entries, and retires the others.
   void UpdateLinks();
   /// Closes the links that are retired and have no work left.
@@ -93,6 +100,10 @@
   std::map<std::string, std::unique_ptr<entry_link>> links_;
   /// The entries that connected entries have listed last, by address.
   std::map<std::string, entry_endpoint> known_entries_;
+  /// The entries that were found last while too few were connected.
+  std::map<std::string, entry_endpoint> found_entries_;
+  /// Entries from the settings, as they were read last.
+  std::vector<std::string> seeds_;
   std::set<std::string> closing_links_;  ///< Links that have sent goodbye.
   std::set<std::string> closed_links_;   ///< Those whose goodbye was answered.
   std::size_t links_at_last_tick_ = 0;   ///< How many were connected.
--- a/src/jayrill/cli/agent_role.cc
+++ b/src/jayrill/cli/agent_role.cc
@@ -14,7 +14,7 @@
 int RunAgent(const command_input& /*input*/) {
   role_application application;
   const system_clock time;
-  platform::agent_adapter adapter(time);
+  platform::agent_adapter adapter(absl::GetFlag(FLAGS_config), time);
   agent_overrides overrides;
   if (absl::GetFlag(FLAGS_platform)) {
     overrides = adapter.MakeOverrides(LeaseSettingsFromFlags());
--- a/src/jayrill/cli/flags.h
+++ b/src/jayrill/cli/flags.h
@@ -18,6 +18,7 @@
 ABSL_DECLARE_FLAG(std::string, rpc_listen);
 ABSL_DECLARE_FLAG(std::string, http_advertise);
 ABSL_DECLARE_FLAG(std::string, rpc_advertise);
+ABSL_DECLARE_FLAG(std::string, config);
 ABSL_DECLARE_FLAG(std::vector<std::string>, store_endpoints);
 ABSL_DECLARE_FLAG(std::string, placement_strategy);
 ABSL_DECLARE_FLAG(std::string, operator_secret);
--- a/src/jayrill/cli/role_flags.cc
+++ b/src/jayrill/cli/role_flags.cc
@@ -23,6 +23,11 @@
           "",
           "RPC address that the entry announces to agents; empty: the listen "
           "address");
+ABSL_FLAG(std::string,
+          config,
+          "",
+          "Path of the platform's settings file, in which an agent without a "
+          "connection looks entries up");
 ABSL_FLAG(std::vector<std::string>,
           store_endpoints,
           {},
--- a/src/jayrill/cli/settings_table.cc
+++ b/src/jayrill/cli/settings_table.cc
@@ -28,6 +28,7 @@
     {"base_revision", kNumber, kConfigCommands, 0, "", -1, 9e15},
     {"burst_at_ms", kNumber, kLoad, 0, kMs, 0, kDayMs},
     {"burst_tasks", kNumber, kLoad, 0, "tasks", 0, kMillion},
+    {"config", kText, kAgent},
     {"connections", kNumber, kLoad, 0, "", 1, 900},
     {"data_centre", kName, kDispatchRoles, kDispatchRoles},
     {"data_centres", kText, kProfile},
--- a/src/jayrill/membership/entry_record.cc
+++ b/src/jayrill/membership/entry_record.cc
@@ -75,4 +75,15 @@
   return record;
 }
 
+result<entry_record> DecodeStoredEntryRecord(std::string_view key,
+                                             std::string_view json) {
+  result<entry_record> record = DecodeEntryRecord(json);
+  if (record && key != kEntriesPrefix + record->id) {
+    return MakeError(error_kind::kInvalidArgument,
+                     "the record names another entry: " + record->id,
+                     "delete the key");
+  }
+  return record;
+}
+
 }  // namespace jayrill
--- a/src/jayrill/membership/entry_record.h
+++ b/src/jayrill/membership/entry_record.h
@@ -13,6 +13,9 @@
 
 namespace jayrill {
 
+/// Prefix of the keys of the entry records; the id of the entry follows.
+inline constexpr char kEntriesPrefix[] = "/jayrill/entries/";
+
 /// Information that an entry publishes in the store for the other entries.
 struct entry_record {
   std::string id;
@@ -37,6 +40,11 @@
 /// id or the process is missing, or no process can connect to the RPC address.
 result<entry_record> DecodeEntryRecord(std::string_view json);
 
+/// \returns the record that the store holds under \p key, or an error when
+/// \p json is no record or is that of another entry.
+result<entry_record> DecodeStoredEntryRecord(std::string_view key,
+                                             std::string_view json);
+
 }  // namespace jayrill
 
 #endif  // JAYRILL_MEMBERSHIP_ENTRY_RECORD_H_
--- a/src/jayrill/membership/membership.cc
+++ b/src/jayrill/membership/membership.cc
@@ -162,12 +162,8 @@
     ScheduleRemoval(event.key);
     return;
   }
-  result<entry_record> record = DecodeEntryRecord(*event.value);
-  if (record && event.key != kEntriesPrefix + record->id) {
-    record = MakeError(error_kind::kInvalidArgument,
-                       "the record names another entry: " + record->id,
-                       "delete the key");
-  }
+  result<entry_record> record =
+      DecodeStoredEntryRecord(event.key, *event.value);
   if (!record) {
     LOG_EVERY_N(ERROR, 20) << "store: ignored the record of an entry key="
                            << event.key << " " << ToString(record.error());
--- a/src/jayrill/membership/membership.h
+++ b/src/jayrill/membership/membership.h
@@ -18,9 +18,6 @@
 
 namespace jayrill {
 
-/// Prefix of the keys of the entry records; the id of the entry follows.
-inline constexpr char kEntriesPrefix[] = "/jayrill/entries/";
-
 /// Keeps the record of this entry in the store under a lease and watches the
 /// records of all entries.
 ///
--- a/tests/integration/foreign_heartbeat_test.cc
+++ b/tests/integration/foreign_heartbeat_test.cc
@@ -101,7 +101,7 @@
         [&] { return entry.Record().status.room.cpu_millis == cpu_millis; });
   }
 
-  platform::agent_adapter adapter_{time};
+  platform::agent_adapter adapter_{"", time};
   platform::http_client client_;
   idle_minion minion_;
 };
--- a/tests/platform/platform_store_standin.h
+++ b/tests/platform/platform_store_standin.h
@@ -51,6 +51,8 @@
   /// page is the same one.
   void SetRepeatingPages(bool repeating) { repeating_pages_ = repeating; }
   int pages_read() const { return pages_read_; }
+  /// \returns the number of lists that were refused while down.
+  int refused() const { return refused_; }
   /// The next transaction takes effect but is not answered.
   void LoseNextAnswer() { lose_answer_ = true; }
   /// A watch from an older revision is answered with status 410 from now on.
@@ -116,6 +118,7 @@
 
   response Range(const QHttpServerRequest& request) {
     if (down_) {
+      ++refused_;
       return Status(503);
     }
     if (unreadable_) {
@@ -227,6 +230,7 @@
   bool lose_answer_ = false;
   bool repeating_pages_ = false;
   int pages_read_ = 0;
+  int refused_ = 0;
   std::uint64_t revision_ = 1;
   std::uint64_t history_begin_ = 0;
   std::map<std::string, item> items_;
