--- a/src/jayrill/config/config_source.h
+++ b/src/jayrill/config/config_source.h
@@ -2,6 +2,8 @@
 #define JAYRILL_CONFIG_CONFIG_SOURCE_H_
 
 #include <functional>
+#include <set>
+#include <string>
 
 #include "jayrill/config/config_holder.h"
 
@@ -23,6 +25,9 @@
     /// Called whenever a read of the store has shown that the configuration in
     /// force is still the newest one.
     std::function<void()> on_confirmed;
+    /// Called when the data centres that operators have taken out have changed,
+    /// where these can be read ahead of the whole configuration. May be empty.
+    std::function<void(const std::set<std::string>&)> on_out_changed = {};
   };
 
   virtual ~config_source() = default;
--- a/src/jayrill/config/translated_config_source.cc
+++ b/src/jayrill/config/translated_config_source.cc
@@ -3,6 +3,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace jayrill {
@@ -10,9 +11,13 @@
 namespace {
 
 // \returns true when both are equal apart from their revisions.
-bool EqualExceptRevision(cluster_config left, const cluster_config& right) {
-  left.revision = right.revision;
-  return left == right;
+bool EqualExceptRevision(const cluster_config& left,
+                         const cluster_config& right) {
+  const auto content = [](const cluster_config& config) {
+    return std::tie(config.profiles, config.services, config.routes,
+                    config.teams, config.data_centres, config.audit);
+  };
+  return content(left) == content(right);
 }
 
 }  // namespace
@@ -30,6 +35,35 @@
     log_.OnInterrupted(failure);
   };
   watch_ = backing.Watch(translator_.Prefix(), std::move(watcher));
+  if (listener_.on_out_changed) {
+    WatchOut(backing);
+  }
+}
+
+void translated_config_source::WatchOut(store& backing) {
+  store::watch_listener watcher;
+  watcher.on_event = [this](const store_event& event) { OnOutEvent(event); };
+  watcher.on_progress = [this](store_revision) { out_log_.OnWorking(); };
+  watcher.on_interrupted = [this](const error& failure) {
+    out_log_.OnInterrupted(failure);
+  };
+  out_watch_ = backing.Watch(translator_.OutPrefix(), std::move(watcher));
+}
+
+void translated_config_source::OnOutEvent(const store_event& event) {
+  const std::string prefix = translator_.OutPrefix();
+  if (!event.key.starts_with(prefix)) {
+    return;
+  }
+  const std::string data_centre = event.key.substr(prefix.size());
+  if (event.value) {
+    out_.insert(data_centre);
+  } else {
+    out_.erase(data_centre);
+  }
+  LOG(INFO) << "config: data centre " << data_centre
+            << (event.value ? " is out" : " is not out any more");
+  listener_.on_out_changed(out_);
 }
 
 void translated_config_source::OnEvent(const store_event& event) {
--- a/src/jayrill/config/translated_config_source.h
+++ b/src/jayrill/config/translated_config_source.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "jayrill/base/error.h"
@@ -24,6 +25,11 @@
   /// \returns the prefix of the keys that hold the configuration.
   virtual std::string Prefix() const = 0;
 
+  /// \returns the prefix of the keys that each take out the data centre that
+  /// the rest of the key names. They are small and are followed on their own,
+  /// so that they do not wait behind a large configuration.
+  virtual std::string OutPrefix() const = 0;
+
   /// \returns the configuration in \p stored, with the revision left at 0, or
   /// an error when \p stored holds no valid configuration.
   virtual result<cluster_config> Translate(const items& stored) const = 0;
@@ -52,6 +58,9 @@
   const shared& current() const override { return holder_.current(); }
 
  private:
+  /// Follows the data centres that are out, ahead of the configuration.
+  void WatchOut(store& backing);
+  void OnOutEvent(const store_event& event);
   void OnEvent(const store_event& event);
   void OnProgress(store_revision as_of);
 
@@ -65,6 +74,9 @@
   shared translation_;         ///< Of items_; null while they are not valid.
   watch_log log_{"config", "configuration"};
   std::unique_ptr<store::watch_handle> watch_;
+  std::set<std::string> out_;  ///< Data centres that are out.
+  watch_log out_log_{"config", "data centres that are out"};
+  std::unique_ptr<store::watch_handle> out_watch_;
 };
 
 }  // namespace jayrill
--- a/src/jayrill/entry/agent_session.cc
+++ b/src/jayrill/entry/agent_session.cc
@@ -176,8 +176,7 @@
   return std::exp(-std::max(excess / decay_time, 0.0));
 }
 
-void agent_session::ApplyConfig(const cluster_config& config, steady_time now) {
-  const bool in_service = !config.IsOut(hello_.data_centre);
+void agent_session::SetInService(bool in_service, steady_time now) {
   if (in_service && !in_service_) {
     joined_ = now;
   }
--- a/src/jayrill/entry/agent_session.h
+++ b/src/jayrill/entry/agent_session.h
@@ -85,8 +85,11 @@
 
   void SetStatus(const minion_status& status, steady_time now);
 
-  /// Records whether the agent's data centre is in service under \p config.
-  void ApplyConfig(const cluster_config& config, steady_time now);
+  /// \returns the data centre of the agent.
+  const std::string& data_centre() const { return hello_.data_centre; }
+
+  /// Records whether the agent's data centre is in service.
+  void SetInService(bool in_service, steady_time now);
 
   /// Adds a start of \p task to the outstanding ones; the caller sends it.
   /// \returns the number of the start.
--- a/src/jayrill/entry/dispatch_port.h
+++ b/src/jayrill/entry/dispatch_port.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -83,6 +84,11 @@
   /// Sets the list of all live entries and passes it to the agents.
   virtual void SetEntries(std::vector<entry_endpoint> entries) = 0;
 
+  /// Replaces the data centres that get no starts whether the configuration in
+  /// force says so or not: operators have taken them out, and a configuration
+  /// that says so may still be on its way.
+  virtual void SetDataCentresOut(std::set<std::string> data_centres) = 0;
+
   /// Sets this entry's share of each team's quota, 0 to 1.
   virtual void SetTeamShares(std::map<std::string, double> shares) = 0;
 
--- a/src/jayrill/entry/dispatch_service.cc
+++ b/src/jayrill/entry/dispatch_service.cc
@@ -208,6 +208,14 @@
   });
 }
 
+void dispatch_service::SetDataCentresOut(std::set<std::string> data_centres) {
+  queue_.Post([this, data_centres = std::move(data_centres)] {
+    if (server_ != nullptr) {
+      server_->core().SetDataCentresOut(data_centres);
+    }
+  });
+}
+
 void dispatch_service::SetTeamShares(std::map<std::string, double> shares) {
   queue_.Post([this, shares = std::move(shares)]() {
     if (server_ != nullptr) {
--- a/src/jayrill/entry/dispatcher.cc
+++ b/src/jayrill/entry/dispatcher.cc
@@ -37,7 +37,7 @@
   config_ = std::move(config);
   const steady_time now = time_.Now();
   for (const auto& [handle, session] : agents_.sessions()) {
-    session->ApplyConfig(*config_, now);
+    ApplyService(*session, now);
     if (session->connected() &&
         session->status().revision < config_->revision) {
       PushConfig(*session);
@@ -48,6 +48,26 @@
   }
 }
 
+void dispatcher::SetDataCentresOut(std::set<std::string> data_centres) {
+  BeginEvent();
+  early_out_ = std::move(data_centres);
+  if (config_) {
+    const steady_time now = time_.Now();
+    for (const auto& [handle, session] : agents_.sessions()) {
+      ApplyService(*session, now);
+    }
+  }
+  for (auto& [service, pool] : agents_.pools()) {
+    pool.set_needs_placement(true);
+  }
+}
+
+void dispatcher::ApplyService(agent_session& session, steady_time now) {
+  const std::string& data_centre = session.data_centre();
+  session.SetInService(
+      !config_->IsOut(data_centre) && !early_out_.contains(data_centre), now);
+}
+
 void dispatcher::PushConfig(agent_session& session) {
   ++counters_.messages_out;
   output_.PushConfig(session.handle(), config_, ++last_push_);
@@ -104,7 +124,7 @@
   EndStarts(session, effect->fenced, task_outcome::kNotRun,
             "the connection to the agent was cut");
   if (config_) {
-    session.ApplyConfig(*config_, now);
+    ApplyService(session, now);
   }
   last_agent_connect_ = now;
   session.SetSlowness(speed_model_.Slowness(session.handle().value), now);
--- a/src/jayrill/entry/dispatcher.h
+++ b/src/jayrill/entry/dispatcher.h
@@ -71,6 +71,10 @@
   void Cancel(job_id id);
   void OfferConfig(shared_config config);
   void ConfirmConfig();
+  /// Replaces the data centres that get no starts whatever the configuration
+  /// in force says of them.
+  void SetDataCentresOut(std::set<std::string> data_centres);
+
   void SetTeamShares(const std::map<std::string, double>& shares);
   void Drain(std::function<void()> drained);
   dispatch_status Status();
@@ -258,6 +262,8 @@
   void QueueStart(const queued_task& task, agent_session& session);
   void PushConfig(agent_session& session);
   void ApplyConfig(shared_config config);
+  /// Applies config_ and early_out_ to \p session.
+  void ApplyService(agent_session& session, steady_time now);
 
   /// Disconnects silent agents, and closes sessions that stay disconnected.
   void CheckSessions();
@@ -299,6 +305,8 @@
   isolation_detector isolation_detector_;
   pause_detector pause_detector_;
   shared_config config_;
+  /// Data centres that are out ahead of a configuration that says so.
+  std::set<std::string> early_out_;
   dispatch_counters counters_;
   std::uint64_t last_push_ = 0;  ///< Number of the latest configuration push.
   std::uint64_t last_connection_ = 0;
--- a/src/jayrill/entry/entry_process.cc
+++ b/src/jayrill/entry/entry_process.cc
@@ -130,7 +130,10 @@
 void entry_process::MakeStoreClients() {
   const config_source::listener listener{
       [this](const shared_config& config) { OnConfig(config); },
-      [this] { OnConfirmed(); }};
+      [this] { OnConfirmed(); },
+      [this](const std::set<std::string>& out) {
+        dispatch_.SetDataCentresOut(out);
+      }};
   if (overrides_.translator != nullptr) {
     config_ = std::make_unique<translated_config_source>(
         *store_, *overrides_.translator, listener);
--- a/tests/entry/leaving_test.cc
+++ b/tests/entry/leaving_test.cc
@@ -101,6 +101,11 @@
                                    agent.DeliverBatch();
                                    agent.Report(cluster.entry, true);
                                  }},
+                    leaving_case{"data_centre_out_ahead_of_a_configuration",
+                                 [](fake_cluster& cluster, fake_agent& agent) {
+                                   cluster.entry.SetDataCentresOut({"dc2"});
+                                   FinishAndReport(cluster, agent);
+                                 }},
                     leaving_case{"draining",
                                  [](fake_cluster& cluster, fake_agent& agent) {
                                    agent.status().draining = true;
--- a/tests/platform/kv_store_test.cc
+++ b/tests/platform/kv_store_test.cc
@@ -228,6 +228,7 @@
 class single_data_centre_translator final : public config_translator {
  public:
   std::string Prefix() const override { return "op/"; }
+  std::string OutPrefix() const override { return "op/evacuate/"; }
   result<cluster_config> Translate(const items& stored) const override {
     const auto found = stored.find("op/config");
     if (found == stored.end() || found->second == "bad") {
--- a/tests/platform/platform_store_standin.h
+++ b/tests/platform/platform_store_standin.h
@@ -40,8 +40,12 @@
   }
 
   std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+  std::uint16_t port() const { return port_; }
   std::uint64_t revision() const { return revision_; }
 
+  /// While set, a watch shows each version of an item that was written after
+  /// this call, as the platform's store does; otherwise only the last one.
+  void SetKeepsVersions(bool keeps) { keeps_versions_ = keeps; }
   /// While down, every request is answered with status 503.
   void SetDown(bool down) { down_ = down; }
   /// While set, reads are answered with status 200 and a body that is not
@@ -61,6 +65,9 @@
   void Put(const std::string& key, const std::string& value) {
     items_[key] = {value, ++revision_, QJsonValue::Undefined};
     history_[revision_] = key;
+    if (keeps_versions_) {
+      versions_[revision_] = ToJson(key);
+    }
   }
   /// Changes \p key so that reads show \p shown as its item.
   void PutOdd(const std::string& key, const QJsonValue& shown) {
@@ -158,6 +165,11 @@
       if (!it->second.starts_with(prefix)) {
         continue;
       }
+      const auto version = versions_.find(it->first);
+      if (version != versions_.end()) {
+        events.append(version->second);
+        continue;
+      }
       const auto found = items_.find(it->second);
       if (found != items_.end() && found->second.revision == it->first) {
         events.append(ToJson(it->second));
@@ -234,7 +246,9 @@
   std::uint64_t revision_ = 1;
   std::uint64_t history_begin_ = 0;
   std::map<std::string, item> items_;
+  bool keeps_versions_ = false;
   std::map<std::uint64_t, std::string> history_;  // Changed key by revision.
+  std::map<std::uint64_t, QJsonValue> versions_;  // Items by revision.
 };
 
 }  // namespace jayrill::platform
