One configuration at a time is on its way to an agent

Cause: the dispatcher pushed each new configuration to each agent whose last report had an older one, without regard to pushes that were not acknowledged. It is the fault of the watch in the other direction: a sender that does not notice that its receiver is behind.

Change: while a push is not acknowledged, no other is sent on that connection; the acknowledgement is followed by the newest configuration, if there is a newer one. A new connection starts anew. Starts don't wait for it, as before: agents accept starts that were placed by a newer configuration than theirs.

--- a/src/jayrill/entry/agent_session.cc
+++ b/src/jayrill/entry/agent_session.cc
@@ -107,6 +107,7 @@
   connected_ = true;
   last_heard_ = now;
   expected_push_ = 0;
+  push_in_flight_ = 0;
   OnAgentTime(hello.sent, now);
   SetStatus(hello.status, now);
   effect.session = number_;
@@ -389,6 +390,9 @@
   if (push >= expected_push_) {
     expected_push_ = 0;
   }
+  if (push >= push_in_flight_) {
+    push_in_flight_ = 0;
+  }
 }
 
 agent_info agent_session::Info(steady_time now) const {
--- a/src/jayrill/entry/agent_session.h
+++ b/src/jayrill/entry/agent_session.h
@@ -168,6 +168,12 @@
   void ExpectAcknowledgement(std::uint64_t push) { expected_push_ = push; }
   void OnAcknowledgement(std::uint64_t push, config_revision revision);
 
+  /// Records that the configuration \p push was sent on this connection.
+  void OnPush(std::uint64_t push) { push_in_flight_ = push; }
+  /// \returns true when a configuration that was sent on this connection has
+  /// not been acknowledged.
+  bool HasPushInFlight() const { return push_in_flight_ != 0; }
+
   /// The store has confirmed the configuration: the agent may get starts again.
   void ConfirmConfig() { expected_push_ = 0; }
 
@@ -223,8 +229,9 @@
   std::uint32_t other_entries_load_ = 0;  ///< Their tasks at the agent.
   resource_amount own_use_;               ///< By own starts without a result.
   resource_amount other_entries_use_;
-  std::uint64_t expected_push_ = 0;  ///< 0: no acknowledgement is awaited.
-  steady_time joined_;               ///< When the slow start began.
+  std::uint64_t push_in_flight_ = 0;  ///< The last one; 0: none.
+  std::uint64_t expected_push_ = 0;   ///< 0: no acknowledgement is awaited.
+  steady_time joined_;                ///< When the slow start began.
   steady_time last_heard_;
   steady_time outstanding_since_;  ///< Since when starts are outstanding.
   steady_time disconnected_since_;
--- a/src/jayrill/entry/dispatcher.cc
+++ b/src/jayrill/entry/dispatcher.cc
@@ -38,10 +38,7 @@
   const steady_time now = time_.Now();
   for (const auto& [handle, session] : agents_.sessions()) {
     ApplyService(*session, now);
-    if (session->connected() &&
-        session->status().revision < config_->revision) {
-      PushConfig(*session);
-    }
+    PushConfigIfNeeded(*session);
   }
   for (auto& [service, pool] : agents_.pools()) {
     pool.set_needs_placement(true);
@@ -68,9 +65,17 @@
       !config_->IsOut(data_centre) && !early_out_.contains(data_centre), now);
 }
 
+void dispatcher::PushConfigIfNeeded(agent_session& session) {
+  if (session.connected() && !session.HasPushInFlight() &&
+      session.status().revision < config_->revision) {
+    PushConfig(session);
+  }
+}
+
 void dispatcher::PushConfig(agent_session& session) {
   ++counters_.messages_out;
-  output_.PushConfig(session.handle(), config_, ++last_push_);
+  session.OnPush(++last_push_);
+  output_.PushConfig(session.handle(), config_, last_push_);
 }
 
 void dispatcher::ConfirmConfig() {
@@ -87,6 +92,7 @@
   BeginEvent();
   if (agent_session* const session = agents_.Find(agent)) {
     session->OnAcknowledgement(push, revision);
+    PushConfigIfNeeded(*session);
     agents_.UpdatePool(*session);
   }
 }
--- a/src/jayrill/entry/dispatcher.h
+++ b/src/jayrill/entry/dispatcher.h
@@ -260,6 +260,10 @@
 
   /// Adds a start of \p task to the outbox.
   void QueueStart(const queued_task& task, agent_session& session);
+  /// Sends the configuration to the agent of \p session if it has an older one.
+  /// One is on its way at a time: an agent that is behind gets the newest one
+  /// next, and not each one in between.
+  void PushConfigIfNeeded(agent_session& session);
   void PushConfig(agent_session& session);
   void ApplyConfig(shared_config config);
   /// Applies config_ and early_out_ to \p session.
