Profiles that bound nothing are encoded without limits and placement

Cause: an adapter makes a profile for each route. With 4,201 routes the limits and placements that bound nothing were 0.6 of 1.6 MB of JSON, which each entry writes and each agent reads for each version. Change: the encoded configuration leaves out both where they are the default; the reader has always taken them so when they are missing. Audit records and messages show them.

--- a/src/jayrill/config/config_codec.cc
+++ b/src/jayrill/config/config_codec.cc
@@ -20,11 +20,22 @@
 // input.
 constexpr quint32 kMaxUnpackedBytes = 4U << 20U;
 
+template <typename Item>
+QJsonObject EncodeItem(const Item& item) {
+  return config::internal::ToJson(item);
+}
+
+// Adapters make a profile for each of thousands of routes. Without the parts
+// that bound nothing it is quicker to write and to read.
+QJsonObject EncodeItem(const profile& item) {
+  return config::internal::ToShortJson(item);
+}
+
 template <typename Map>
 QJsonObject EncodeItems(const Map& items) {
   QJsonObject json;
   for (const auto& [name, item] : items) {
-    QJsonObject value = config::internal::ToJson(item);
+    QJsonObject value = EncodeItem(item);
     value.insert(u"changed"_s, static_cast<qint64>(item.changed.value));
     json.insert(ToJsonText(name), value);
   }
--- a/src/jayrill/config/internal/config_json.cc
+++ b/src/jayrill/config/internal/config_json.cc
@@ -18,13 +18,8 @@
   return static_cast<qint64>(value);
 }
 
-}  // namespace
-
-QJsonObject ToJson(const profile& value) {
-  QJsonArray data_centres;
-  for (const std::string& name : value.placement.data_centres) {
-    data_centres.append(ToJsonText(name));
-  }
+/// \returns the fields of \p value outside its limits and its placement.
+QJsonObject RulesToJson(const profile& value) {
   return {
       {u"urgency"_s, ToNumber(value.urgency)},
       {u"attempts"_s, ToNumber(value.attempts)},
@@ -32,21 +27,46 @@
       {u"slack_factor_permille"_s,
        static_cast<qint64>(std::llround(value.slack_factor * kPermille))},
       {u"target_latency_ms"_s, qint64{value.target_latency.count()}},
-      {u"limits"_s,
-       QJsonObject{
-           {u"max_tasks"_s, ToNumber(value.limits.max_tasks)},
-           {u"max_running"_s, ToNumber(value.limits.max_running)},
-           {u"max_deadline_ms"_s, qint64{value.limits.max_deadline.count()}}}},
-      {u"placement"_s,
-       QJsonObject{
-           {u"data_centres"_s, data_centres},
-           {u"min_cores"_s, ToNumber(value.placement.min_cores)},
-           {u"min_memory_mb"_s, ToNumber(value.placement.min_memory_mb)},
-           {u"min_accelerators"_s,
-            ToNumber(value.placement.min_accelerators)}}},
   };
 }
 
+QJsonObject ToJson(const profile_limits& value) {
+  return {{u"max_tasks"_s, ToNumber(value.max_tasks)},
+          {u"max_running"_s, ToNumber(value.max_running)},
+          {u"max_deadline_ms"_s, qint64{value.max_deadline.count()}}};
+}
+
+QJsonObject ToJson(const profile_placement& value) {
+  QJsonArray data_centres;
+  for (const std::string& name : value.data_centres) {
+    data_centres.append(ToJsonText(name));
+  }
+  return {{u"data_centres"_s, data_centres},
+          {u"min_cores"_s, ToNumber(value.min_cores)},
+          {u"min_memory_mb"_s, ToNumber(value.min_memory_mb)},
+          {u"min_accelerators"_s, ToNumber(value.min_accelerators)}};
+}
+
+}  // namespace
+
+QJsonObject ToJson(const profile& value) {
+  QJsonObject json = RulesToJson(value);
+  json.insert(u"limits"_s, ToJson(value.limits));
+  json.insert(u"placement"_s, ToJson(value.placement));
+  return json;
+}
+
+QJsonObject ToShortJson(const profile& value) {
+  QJsonObject json = RulesToJson(value);
+  if (value.limits != profile_limits()) {
+    json.insert(u"limits"_s, ToJson(value.limits));
+  }
+  if (value.placement != profile_placement()) {
+    json.insert(u"placement"_s, ToJson(value.placement));
+  }
+  return json;
+}
+
 QJsonObject ToJson(const service_binding& value) {
   return {{u"profile"_s, ToJsonText(value.profile)}};
 }
--- a/src/jayrill/config/internal/config_json.h
+++ b/src/jayrill/config/internal/config_json.h
@@ -20,6 +20,10 @@
 
 QJsonObject ToJson(const audit_record& value);
 
+/// \returns the JSON form of \p value without limits and a placement that bound
+/// nothing. ReadProfile reads it as it reads the whole form.
+QJsonObject ToShortJson(const profile& value);
+
 /// \name Read an item; errors are reported by json_object::Check.
 /// @{
 profile ReadProfile(const json_object& json);
