--- a/tests/integration/foreign_heartbeat_test.cc
+++ b/tests/integration/foreign_heartbeat_test.cc
@@ -95,6 +95,13 @@
     ASSERT_TRUE(WaitFor([&] { return is_answered; }));
   }
 
+  /// Sends the heartbeat of the other writer.
+  void SendForeignHeartbeat() {
+    QJsonObject foreign = Heartbeat(minion_.port(), 2);
+    GetParam().change(foreign);
+    Send(GetParam().instance, foreign);
+  }
+
   /// \returns true once the entry has been told of the room \p cpu_millis.
   bool IsReported(std::uint32_t cpu_millis) {
     return WaitFor(
@@ -112,9 +119,7 @@
   LaunchWithPlatform();
   Send(kMinion, Heartbeat(minion_.port(), 1));
   ASSERT_TRUE(IsReported(kCpuMillis));
-  QJsonObject foreign = Heartbeat(minion_.port(), 2);
-  GetParam().change(foreign);
-  Send(GetParam().instance, foreign);
+  SendForeignHeartbeat();
   Send(kMinion, Heartbeat(minion_.port(), 3, kLaterCpuMillis));
   EXPECT_TRUE(IsReported(kLaterCpuMillis));
   EXPECT_EQ(entry.Record().status.service, "quotes");
@@ -124,9 +129,7 @@
 // minion out.
 TEST_P(foreign_heartbeat_test, TheMinionComesIntoUse) {
   LaunchWithPlatform();
-  QJsonObject foreign = Heartbeat(minion_.port(), 2);
-  GetParam().change(foreign);
-  Send(GetParam().instance, foreign);
+  SendForeignHeartbeat();
   Send(kMinion, Heartbeat(minion_.port(), 3, kLaterCpuMillis));
   EXPECT_TRUE(IsReported(kLaterCpuMillis));
   EXPECT_EQ(entry.Record().status.service, "quotes");
