Carry profile, share weight and rack on the wire

Sharing the room of a minion by profile needs the profile and its weight on each start, and placement near data needs the rack that a minion announces. Both are optional fields that older processes do not read. No part uses them yet. rpc_codec_test checks that they arrive.

--- a/src/jayrill/job/start_request.h
+++ b/src/jayrill/job/start_request.h
@@ -31,6 +31,10 @@
   /// The agent gives the start back when it expects it to wait for longer; 0:
   /// the start may wait until the deadline.
   std::chrono::milliseconds max_wait{};
+  std::string profile;  ///< Of its job; empty when not known.
+  /// Weight of the profile where profiles share the room of a minion; 0 when
+  /// not known.
+  std::uint32_t share_weight = 0;
 
   auto operator<=>(const start_request&) const = default;
 };
--- a/src/jayrill/job/task_result.h
+++ b/src/jayrill/job/task_result.h
@@ -80,6 +80,8 @@
   std::uint32_t slowness_percent = 0;
   /// Tasks under which the minion has crashed lately, in any of its lives.
   std::vector<task_crash> crashes;
+  /// Rack that the minion has announced; empty: that of the agent's hello.
+  std::string rack;
 
   auto operator<=>(const minion_status&) const = default;
 };
--- a/src/jayrill/rpc/codec.cc
+++ b/src/jayrill/rpc/codec.cc
@@ -114,6 +114,8 @@
   wire.setExpectedRunMs(ToWireMillis(order.expected_run));
   wire.setTypicalRunMs(ToWireMillis(order.typical_run));
   wire.setMaxWaitMs(ToWireMillis(order.max_wait));
+  wire.setProfile(order.profile);
+  wire.setShareWeight(order.share_weight);
   EncodeAmount(order.needs, wire.initNeeds());
 }
 
@@ -143,6 +145,7 @@
   EncodeAmount(status.used, wire.initUsed());
   wire.setWarmingUpMs(ToWireMillis(status.warm_up_remaining));
   wire.setSlownessPercent(status.slowness_percent);
+  wire.setRack(status.rack);
   auto crashes = wire.initCrashes(static_cast<unsigned>(status.crashes.size()));
   for (unsigned i = 0; i < crashes.size(); ++i) {
     const task_crash& crash = status.crashes[i];
@@ -178,6 +181,8 @@
   order.expected_run = std::chrono::milliseconds(wire.getExpectedRunMs());
   order.typical_run = std::chrono::milliseconds(wire.getTypicalRunMs());
   order.max_wait = std::chrono::milliseconds(wire.getMaxWaitMs());
+  order.profile = ToString(wire.getProfile());
+  order.share_weight = wire.getShareWeight();
   return order;
 }
 
@@ -216,6 +221,7 @@
   status.used = DecodeAmount(wire.getUsed());
   status.warm_up_remaining = std::chrono::milliseconds(wire.getWarmingUpMs());
   status.slowness_percent = wire.getSlownessPercent();
+  status.rack = ToString(wire.getRack());
   status.crashes = DecodeList<task_crash>(wire.getCrashes());
   return status;
 }
--- a/src/jayrill/rpc/dispatch.capnp
+++ b/src/jayrill/rpc/dispatch.capnp
@@ -125,6 +125,9 @@
   maxWaitMs @13 :UInt32;     # the agent gives the start back as busy when it
                              # expects it to wait for longer; 0: it may wait
                              # until the deadline
+  profile @15 :Text;         # of the job; empty: not known
+  shareWeight @16 :UInt32;   # of the profile where profiles share the room of a
+                             # minion; 0: not known
 }
 
 enum TaskOutcome {
@@ -181,6 +184,8 @@
   # Run time relative to the average minion, by the runs of all entries in the
   # last seconds; 0: not known.
   crashes @15 :List(TaskCrash);  # of the last seconds, in any life of the minion
+  rack @16 :Text;            # that the minion has announced; empty: that of the
+                             # hello
 }
 
 struct TaskCrash {
--- a/src/jayrill/rpc/dispatch.capnp.h
+++ b/src/jayrill/rpc/dispatch.capnp.h
@@ -503,7 +503,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(82db2e55169b57c3, 7, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(82db2e55169b57c3, 8, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -537,7 +537,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f9f29e2b788cb5a1, 7, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(f9f29e2b788cb5a1, 7, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2825,6 +2825,11 @@
 
   inline  ::uint32_t getTypicalRunMs() const;
 
+  inline bool hasProfile() const;
+  inline  ::capnp::Text::Reader getProfile() const;
+
+  inline  ::uint32_t getShareWeight() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2918,6 +2923,16 @@
   inline  ::uint32_t getTypicalRunMs();
   inline void setTypicalRunMs( ::uint32_t value);
 
+  inline bool hasProfile();
+  inline  ::capnp::Text::Builder getProfile();
+  inline void setProfile( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initProfile(unsigned int size);
+  inline void adoptProfile(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownProfile();
+
+  inline  ::uint32_t getShareWeight();
+  inline void setShareWeight( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3114,6 +3129,9 @@
   inline bool hasCrashes() const;
   inline  ::capnp::List< ::jayrill::wire::TaskCrash,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
 
+  inline bool hasRack() const;
+  inline  ::capnp::Text::Reader getRack() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3206,6 +3224,13 @@
   inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::jayrill::wire::TaskCrash,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::jayrill::wire::TaskCrash,  ::capnp::Kind::STRUCT>> disownCrashes();
 
+  inline bool hasRack();
+  inline  ::capnp::Text::Builder getRack();
+  inline void setRack( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRack(unsigned int size);
+  inline void adoptRack(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRack();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5018,6 +5043,54 @@
       ::capnp::bounded<13>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Start::Reader::hasProfile() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool Start::Builder::hasProfile() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Start::Reader::getProfile() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Start::Builder::getProfile() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void Start::Builder::setProfile( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Start::Builder::initProfile(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void Start::Builder::adoptProfile(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Start::Builder::disownProfile() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t Start::Reader::getShareWeight() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Start::Builder::getShareWeight() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+}
+inline void Start::Builder::setShareWeight( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t TaskResult::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -5470,6 +5543,40 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool MinionStatus::Reader::hasRack() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool MinionStatus::Builder::hasRack() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader MinionStatus::Reader::getRack() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder MinionStatus::Builder::getRack() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void MinionStatus::Builder::setRack( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder MinionStatus::Builder::initRack(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void MinionStatus::Builder::adoptRack(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> MinionStatus::Builder::disownRack() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline bool TaskCrash::Reader::hasJobName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/tests/unit/rpc_codec_test.cc
+++ b/tests/unit/rpc_codec_test.cc
@@ -74,6 +74,7 @@
 TEST(status_codec_test, KeepsTheCrashes) {
   minion_status status;
   status.service = "quotes";
+  status.rack = "r1-3";
   status.crashes = {{"a", 3, 7, crash_role::kLikelyCause},
                     {"b", 0, 8, crash_role::kBeside}};
   capnp::MallocMessageBuilder message;
@@ -82,5 +83,18 @@
   EXPECT_EQ(Decode(wire.asReader()), status);
 }
 
+// Guards against a start that reaches the agent without its profile and weight,
+// so that its queue gets no share of the room.
+TEST(start_codec_test, KeepsProfileAndWeight) {
+  start_request order;
+  order.service = "quotes";
+  order.profile = "counter";
+  order.share_weight = 4;
+  capnp::MallocMessageBuilder message;
+  const auto wire = message.initRoot<wire::Start>();
+  Encode(order, wire);
+  EXPECT_EQ(Decode(wire.asReader()), order);
+}
+
 }  // namespace
 }  // namespace jayrill
