--- a/tests/unit/rpc_codec_test.cc
+++ b/tests/unit/rpc_codec_test.cc
@@ -69,9 +69,9 @@
                            return std::to_string(item.param.count);
                          });
 
-// Guards against a status that reaches the entry without the crashes of the
-// minion, or with other ones.
-TEST(status_codec_test, KeepsTheCrashes) {
+// Guards against a status that reaches the entry without the crashes or the
+// rack of the minion, or with other ones.
+TEST(status_codec_test, KeepsCrashesAndRack) {
   minion_status status;
   status.service = "quotes";
   status.rack = "r1-3";
