Keep learning of ended runs while a minion leaves calls unanswered

Cause: an agent had one request for a report open at a time. Without an answer it timed out after 350 ms, and until then the agent knew of no free slot.

Change: after a call without an answer, requests for reports overlap for 5 s; an order is given up when a report that was requested 20 ms later does not list its run; the end of a stopped run is asked for as soon as it is due; the time of a lost order does not count for the speed of the minion. No bound on overlapping runs changes. Metrics and a log line for lost calls.

--- a/src/jayrill/agent/agent_core.cc
+++ b/src/jayrill/agent/agent_core.cc
@@ -176,6 +176,13 @@
   Report(run.entry, std::move(outcome));
 }
 
+void agent_core::OnOrderLost(std::uint64_t call) {
+  const auto found = running_.find(call);
+  if (found != running_.end()) {
+    found->second.is_order_lost = true;
+  }
+}
+
 void agent_core::OnSlotFree(std::uint64_t call) {
   const auto found = running_.find(call);
   if (found == running_.end()) {
--- a/src/jayrill/agent/agent_core.h
+++ b/src/jayrill/agent/agent_core.h
@@ -118,6 +118,11 @@
   /// OnSlotFree.
   void OnResult(std::uint64_t call, task_result outcome);
 
+  /// The order to start \p call had no answer, and its run is being stopped.
+  /// Its slot is still busy, but the time says nothing about the minion's
+  /// speed.
+  void OnOrderLost(std::uint64_t call);
+
   /// Frees the slot of \p call and starts waiting starts.
   void OnSlotFree(std::uint64_t call);
 
@@ -183,6 +188,7 @@
     resource_amount needs;
     bool stopped = false;  ///< Was stopped because its entry was silent.
     run_guard_ptr guard = {};
+    bool is_order_lost = false;
   };
   struct refusal {
     not_run_reason reason;
--- a/src/jayrill/agent/agent_core_status.cc
+++ b/src/jayrill/agent/agent_core_status.cc
@@ -68,7 +68,7 @@
   std::vector<run_pace::unfinished_run> unfinished;
   unfinished.reserve(running_.size());
   for (const auto& [call, run] : running_) {
-    if (run.run_time.count() == 0) {
+    if (run.run_time.count() == 0 && !run.is_order_lost) {
       unfinished.push_back({Micros(now - run.released), run.typical_run});
     }
   }
--- a/src/jayrill/agent/agent_process.cc
+++ b/src/jayrill/agent/agent_process.cc
@@ -15,7 +15,9 @@
     : settings_(std::move(settings)),
       time_(time),
       departure_(settings_.announce_ttl),
-      metrics_text_([this] { return agent::internal::ToText(view()); }),
+      metrics_text_([this] {
+        return agent::internal::ToText(view(), minion_port_->lost_calls());
+      }),
       admission_(AdmissionHost()),
       minion_port_(overrides.minion
                        ? overrides.minion(MinionListener())
@@ -108,6 +110,9 @@
       },
       [this](std::uint64_t call) {
         PostToLoop([call](agent_loop& loop) { loop.core().OnSlotFree(call); });
+      },
+      [this](std::uint64_t call) {
+        PostToLoop([call](agent_loop& loop) { loop.core().OnOrderLost(call); });
       }};
 }
 
--- a/src/jayrill/agent/internal/counters_text.cc
+++ b/src/jayrill/agent/internal/counters_text.cc
@@ -31,7 +31,8 @@
 
 }  // namespace
 
-std::string ToText(const agent_view& view) {
+std::string ToText(const agent_view& view,
+                   const lost_call_counters& lost_calls) {
   std::ostringstream text;
   for (const counter_field& field : kFields) {
     text << "jayrill_agent_" << field.name << "_total "
@@ -49,6 +50,10 @@
        << "jayrill_agent_ignored_announcements_total "
        << view.ignored_announcements << '\n'
        << "jayrill_agent_connected_entries " << view.connected_entries << '\n';
+  const char* const lost = "jayrill_agent_lost_calls_total{call=\"";
+  text << lost << "start\"} " << lost_calls.starts << '\n'
+       << lost << "stop\"} " << lost_calls.stops << '\n'
+       << lost << "report\"} " << lost_calls.reports << '\n';
   return text.str();
 }
 
--- a/src/jayrill/agent/internal/counters_text.h
+++ b/src/jayrill/agent/internal/counters_text.h
@@ -7,9 +7,10 @@
 
 namespace jayrill::agent::internal {
 
-/// \returns the counters and gauges of \p view in the Prometheus text
-/// exposition format.
-std::string ToText(const agent_view& view);
+/// \returns the counters and gauges of \p view and \p lost_calls in the
+/// Prometheus text exposition format.
+std::string ToText(const agent_view& view,
+                   const lost_call_counters& lost_calls);
 
 }  // namespace jayrill::agent::internal
 
--- a/src/jayrill/agent/leased_minion.cc
+++ b/src/jayrill/agent/leased_minion.cc
@@ -298,4 +298,16 @@
   token_ = std::max(token_, sent_token + 1);
 }
 
+void leased_minion::OnCallLost() {
+  const steady_time now = time_.Now();
+  if (!requests_.IsLossy(now)) {
+    LOG(WARNING) << "lease: a call to the minion had no answer; requests for "
+                    "reports overlap lost_starts="
+                 << lost_calls_.starts << " lost_stops=" << lost_calls_.stops
+                 << " lost_reports=" << lost_calls_.reports
+                 << " runs=" << runs_.size();
+  }
+  requests_.OnLoss(now);
+}
+
 }  // namespace jayrill
--- a/src/jayrill/agent/leased_minion.h
+++ b/src/jayrill/agent/leased_minion.h
@@ -10,6 +10,7 @@
 
 #include "jayrill/agent/end_proof.h"
 #include "jayrill/agent/minion_port.h"
+#include "jayrill/agent/report_requests.h"
 #include "jayrill/agent/run_control.h"
 #include "jayrill/base/clock.h"
 #include "jayrill/base/log_limit.h"
@@ -71,6 +72,7 @@
     minion_left_ = left;
     is_end_announced_ = is_end_announced_ || left;
   }
+  lost_call_counters lost_calls() const override { return lost_calls_; }
   std::uint32_t running() const override {
     return static_cast<std::uint32_t>(runs_.size() + waiting_calls_.size());
   }
@@ -89,6 +91,7 @@
     bool has_run = false;  ///< The minion has confirmed that it runs or ran.
     std::uint32_t order_tries = 0;
     steady_time ordered_at;
+    std::uint64_t order_token = 0;  ///< Fencing token of the last order.
     std::uint32_t percent = 0;
     steady_time progress_at;
     /// Serial of the last report requested before the stop was acknowledged;
@@ -155,8 +158,8 @@
   /// Requests a report and renews the lease with it. The minion may hold the
   /// answer back for up to \p wait until a run ends.
   void RequestReport(std::chrono::milliseconds wait);
-  /// Keeps one request in flight while there are runs, waiting calls or
-  /// unacknowledged ends.
+  /// Keeps a request in flight while there are runs, waiting calls or
+  /// unacknowledged ends; several after a loss, see report_requests.
   void RequestReportIfNeeded();
   void OnReport(const sent_renewal& sent, const result<run_report>& answer);
   void OnReportFailed(std::uint64_t sent_token, const error& failure);
@@ -165,7 +168,7 @@
   /// restarted minion runs.
   bool AdoptLife(std::uint64_t serial, const run_report& report);
   void ProcessEndedRuns(const run_report& report);
-  void ProcessRunningRuns(std::uint64_t serial, const run_report& report);
+  void ProcessRunningRuns(const sent_renewal& sent, const run_report& report);
   void CheckProgress(std::uint64_t id, std::uint32_t percent);
   /// Lets the stop of \p run be sent again when the report \p serial lists the
   /// run although it should have ended: the stop was acknowledged by an earlier
@@ -174,8 +177,11 @@
   /// \returns true when the report \p serial was requested after the stop of
   /// \p run was acknowledged, and the run has had the time to end.
   bool IsEndDue(const leased_run& run, std::uint64_t serial) const;
-  /// Handles a run of this agent that the report \p serial does not list.
-  void OnRunNotListed(std::uint64_t serial, std::uint64_t id);
+  /// \returns true when the order of \p run has no answer, and a report that
+  /// was requested at \p requested should have listed the run.
+  static bool IsOrderOverdue(const leased_run& run, steady_time requested);
+  /// Handles a run of this agent that the report to \p sent does not list.
+  void OnRunNotListed(const sent_renewal& sent, std::uint64_t id);
   /// Ends a call. \p answer is that of the minion to the order to start it,
   /// where the proof rests on one.
   void Finish(std::uint64_t id,
@@ -208,6 +214,10 @@
   /// with it and had no answer, or was sent to an earlier life, has no effect
   /// after one of them.
   void FenceCalls(std::uint64_t sent_token);
+  /// A call to the minion had no answer: lets requests for reports overlap.
+  void OnCallLost();
+  /// The order of \p run had no answer: fences it and stops the run.
+  void OnOrderLost(std::uint64_t id, leased_run& run);
   /// \returns true when the last reading of the minion's clock is recent enough
   /// to compute the end of a lease from it.
   bool IsClockCurrent() const;
@@ -264,7 +274,8 @@
   std::uint64_t last_serial_ = 0;  ///< Of the last request for a report.
   /// When the last report that has arrived was requested.
   std::optional<steady_time> last_report_requested_at_;
-  std::uint32_t reports_in_flight_ = 0;
+  report_requests requests_;
+  lost_call_counters lost_calls_;
   std::uint32_t failed_reports_ = 0;  ///< Failed requests in a row.
   /// When requests began to fail; empty after a report of the present life.
   std::optional<steady_time> first_failure_at_;
--- a/src/jayrill/agent/leased_minion_orders.cc
+++ b/src/jayrill/agent/leased_minion_orders.cc
@@ -13,6 +13,9 @@
 /// Orders to start one run before the start is refused.
 constexpr std::uint32_t kMaxOrderTries = 8;
 
+/// A stopped run is looked for this much later than its stop can take.
+constexpr std::chrono::milliseconds kEndCheckDelay{1};
+
 }  // namespace
 
 void leased_minion::SendStart(std::uint64_t id) {
@@ -26,6 +29,7 @@
     return;
   }
   run.ordered_at = time_.Now();
+  run.order_token = token_;
   ++run.order_tries;
   control_.Start(
       {run.name, run.call.order.payload, token_, ExtendLease(lease)},
@@ -59,7 +63,7 @@
     return;  // A report has listed the run meanwhile.
   }
   if (answer == order_answer::kLost) {
-    StopRun(id, "the order to start had no answer");
+    OnOrderLost(id, run);
     return;
   }
   // All other answers mean that the minion has not started the run.
@@ -131,6 +135,19 @@
   SendStop(id);
 }
 
+void leased_minion::OnOrderLost(std::uint64_t id, leased_run& run) {
+  if (run.state == run_state::kStopping) {
+    return;
+  }
+  FenceCalls(run.order_token);
+  ++lost_calls_.starts;
+  OnCallLost();
+  StopRun(id, "the order to start had no answer");
+  if (listener_.on_order_lost) {
+    listener_.on_order_lost(id);
+  }
+}
+
 void leased_minion::SendStop(std::uint64_t id) {
   leased_run& run = runs_.at(id);
   ++run.stops_in_flight;
@@ -155,11 +172,18 @@
       run.last_report_before_stop = last_serial_;
       run.stop_acknowledged_at = time_.Now();
       RequestReport({});
+      // IsEndDue needs a report after the stop time, and a request that waits
+      // at the minion may be held back for longer.
+      timers_.After(settings_.stop_time + kEndCheckDelay,
+                    guard_.Wrap([this] { RequestReport({}); }));
     }
     return;
   }
   if (answer == order_answer::kFenced) {
     OnTokenRefused(sent.token);
+  } else if (answer == order_answer::kLost) {
+    ++lost_calls_.stops;
+    OnCallLost();
   }
   // Tick sends the stop again.
 }
--- a/src/jayrill/agent/leased_minion_reports.cc
+++ b/src/jayrill/agent/leased_minion_reports.cc
@@ -14,14 +14,15 @@
 
 namespace {
 
-/// Requests for reports in flight at a time: while one waits for a run to end,
-/// another may ask for the present state.
-constexpr std::uint32_t kMaxReportsInFlight = 2;
+/// An order counts as overdue when a report that was requested this much later
+/// does not list its run. Both go to the minion on the same machine, over
+/// different connections.
+constexpr std::chrono::milliseconds kOrderGrace{20};
 
 }  // namespace
 
 void leased_minion::RequestReportIfNeeded() {
-  if (!minion_ || reports_in_flight_ > 0 || retry_scheduled_) {
+  if (!minion_ || retry_scheduled_ || !requests_.IsDue(time_.Now())) {
     return;
   }
   if (!runs_.empty()) {
@@ -33,10 +34,10 @@
 }
 
 void leased_minion::RequestReport(std::chrono::milliseconds wait) {
-  if (!minion_ || reports_in_flight_ >= kMaxReportsInFlight) {
+  const steady_time now = time_.Now();
+  if (!minion_ || !requests_.MayAdd(now)) {
     return;
   }
-  ++reports_in_flight_;
   renewal request;
   request.fencing_token = token_;
   request.acknowledged = acknowledged_;
@@ -56,10 +57,15 @@
     }
     is_lease_held_back_ = is_held_back;
   }
-  const sent_renewal sent{++last_serial_, token_, acknowledged_, time_.Now()};
+  const sent_renewal sent{++last_serial_, token_, acknowledged_, now};
+  requests_.OnSent(sent.serial, now);
+  if (requests_.IsLossy(now)) {
+    timers_.After(report_requests::kOverlapInterval,
+                  guard_.Wrap([this] { RequestReportIfNeeded(); }));
+  }
   control_.Renew(request,
                  guard_.Wrap([this, sent](const result<run_report>& answer) {
-                   --reports_in_flight_;
+                   requests_.OnEnded(sent.serial);
                    CheckPause();
                    OnReport(sent, answer);
                    RequestReportIfNeeded();
@@ -90,7 +96,7 @@
   }
   clock_read_ = answer->clock;
   clock_read_at_ = time_.Now();
-  ProcessRunningRuns(sent.serial, *answer);
+  ProcessRunningRuns(sent, *answer);
   first_failure_at_.reset();
   BeginWaitingCalls();
 }
@@ -105,6 +111,8 @@
     failed_reports_ = 0;
   } else if (!is_unreachable_) {
     FenceCalls(sent_token);
+    ++lost_calls_.reports;
+    OnCallLost();
   }
   if (failed_reports_ == kMaxRenewalFailures) {
     LOG(WARNING) << "lease: the minion does not answer runs=" << runs_.size()
@@ -195,7 +203,7 @@
   }
 }
 
-void leased_minion::ProcessRunningRuns(std::uint64_t serial,
+void leased_minion::ProcessRunningRuns(const sent_renewal& sent,
                                        const run_report& report) {
   bool has_unknown = false;
   std::set<std::uint64_t> present;
@@ -212,7 +220,7 @@
       found->second.state = run_state::kRunning;
       found->second.progress_at = time_.Now();
     }
-    ReopenStop(found->second, serial);
+    ReopenStop(found->second, sent.serial);
     CheckProgress(found->first, active.percent);
   }
   std::vector<std::uint64_t> missing;
@@ -222,7 +230,7 @@
     }
   }
   for (const std::uint64_t id : missing) {
-    OnRunNotListed(serial, id);
+    OnRunNotListed(sent, id);
   }
   // Once no run of an earlier agent is left, only this agent starts runs. A run
   // that is being stopped is not listed but still needs its room.
@@ -267,16 +275,24 @@
   }
 }
 
-void leased_minion::OnRunNotListed(std::uint64_t serial, std::uint64_t id) {
+bool leased_minion::IsOrderOverdue(const leased_run& run,
+                                   steady_time requested) {
+  return run.state == run_state::kOrdered &&
+         requested - run.ordered_at >= kOrderGrace;
+}
+
+void leased_minion::OnRunNotListed(const sent_renewal& sent, std::uint64_t id) {
   leased_run& run = runs_.at(id);
-  if (IsEndDue(run, serial)) {
+  if (IsEndDue(run, sent.serial)) {
     // The order to start it was accepted or has no answer. Another request may
     // have acknowledged the end of the run, and an order on its way survives a
     // crash of the minion, so this does not prove that it has not run.
     Finish(id, MakeResult(run, task_outcome::kInterrupted),
            end_proof::kStopAcknowledged);
+  } else if (IsOrderOverdue(run, sent.at)) {
+    OnOrderLost(id, run);
   } else if (run.state == run_state::kRunning &&
-             serial > run.last_report_before_start) {
+             sent.serial > run.last_report_before_start) {
     StopRun(id, "the minion does not list the run any more");
   }
 }
--- a/src/jayrill/agent/minion_port.h
+++ b/src/jayrill/agent/minion_port.h
@@ -1,6 +1,7 @@
 #ifndef JAYRILL_AGENT_MINION_PORT_H_
 #define JAYRILL_AGENT_MINION_PORT_H_
 
+#include <compare>
 #include <cstdint>
 #include <functional>
 
@@ -11,6 +12,15 @@
 
 namespace jayrill {
 
+/// Calls to the minion that had no answer, since the start of the agent.
+struct lost_call_counters {
+  std::uint64_t starts = 0;
+  std::uint64_t stops = 0;
+  std::uint64_t reports = 0;
+
+  auto operator<=>(const lost_call_counters&) const = default;
+};
+
 /// Runs tasks on the minion beside the agent. Used only on the Qt thread.
 class minion_port {
  public:
@@ -21,6 +31,9 @@
     /// The call does not use the minion any more, so its slot is free. Called
     /// once for each call, after on_result.
     std::function<void(std::uint64_t call)> on_slot_free;
+    /// The order to start the call had no answer, and its run is being stopped
+    /// without having been seen; may be empty.
+    std::function<void(std::uint64_t call)> on_order_lost = {};
   };
 
   virtual ~minion_port() = default;
@@ -47,6 +60,10 @@
   /// calls that were queued from the RPC thread to this one when it left.
   virtual void SetMinionLeft(bool left) = 0;
 
+  /// \returns the calls without an answer; none for a port that sends each
+  /// task as one request.
+  virtual lost_call_counters lost_calls() const { return {}; }
+
   /// \returns the number of calls that have not ended.
   virtual std::uint32_t running() const = 0;
 };
--- a/tests/support/minion_standin.h
+++ b/tests/support/minion_standin.h
@@ -178,7 +178,8 @@
         }
         ApplyRenewal(late);
       });
-      timers_.After(kAnswerTimeout, [done] { done(NoAnswer()); });
+      timers_.After(kAnswerTimeout + request.wait,
+                    [done] { done(NoAnswer()); });
       return;
     }
     if (random_.Below(100) < faults_.renewal_errors) {
@@ -190,7 +191,8 @@
     }
     if (random_.Below(100) < faults_.lost_answers) {
       timers_.After(kRoundTrip, [this, request] { ApplyRenewal(request); });
-      timers_.After(kAnswerTimeout, [done] { done(NoAnswer()); });
+      timers_.After(kAnswerTimeout + request.wait,
+                    [done] { done(NoAnswer()); });
       return;
     }
     timers_.After(kRoundTrip, [this, request, done, target = target_] {
