Start urgent tasks on the first agents after a start of the entry

Cause: after a loss of power, an entry admitted jobs without any check and started nothing until no further agent had connected for 200 ms. Most jobs that had arrived meanwhile were then too late, and their waits counted as overload.

Change: start_up_wait. A task whose objective leaves no time for more agents is started on those that are there; a job that the known capacity can't finish within its objective is refused at once as `starting`, with the time that the admitted work takes as Retry-After; waits for agents are no sample of the load. Readiness is as before.

--- a/src/jayrill/entry/dispatch_counters.h
+++ b/src/jayrill/entry/dispatch_counters.h
@@ -1,6 +1,7 @@
 #ifndef JAYRILL_ENTRY_DISPATCH_COUNTERS_H_
 #define JAYRILL_ENTRY_DISPATCH_COUNTERS_H_
 
+#include <chrono>
 #include <compare>
 #include <cstdint>
 #include <map>
@@ -26,6 +27,8 @@
   std::uint64_t dropped_results = 0;
   std::uint64_t sessions_lost = 0;  ///< Or ended by the agent.
   std::uint64_t pauses = 0;
+  /// How long the entry has waited for its first agents.
+  std::chrono::milliseconds start_up_wait{};
   std::map<std::string, std::uint64_t> failures;  ///< By code.
 
   auto operator<=>(const dispatch_counters&) const = default;
--- a/src/jayrill/entry/dispatch_metrics.cc
+++ b/src/jayrill/entry/dispatch_metrics.cc
@@ -75,6 +75,9 @@
        static_cast<std::int64_t>(connected)},
       {"jayrill_config_revision", "Configuration in force at this entry.",
        static_cast<std::int64_t>(status.revision.value)},
+      {"jayrill_start_up_wait_ms",
+       "How long this entry has waited for its first agents.",
+       static_cast<std::int64_t>(counters.start_up_wait.count())},
       {"jayrill_isolated", "1 while this entry is isolated.",
        status.isolated ? 1 : 0},
   };
--- a/src/jayrill/entry/dispatcher.cc
+++ b/src/jayrill/entry/dispatcher.cc
@@ -14,6 +14,7 @@
       output_(output),
       limits_(limits),
       started_(time.Now()),
+      start_up_(started_),
       placer_(std::move(strategy)),
       isolation_detector_(std::move(data_centre), started_),
       pause_detector_(time) {}
@@ -132,7 +133,7 @@
   if (config_) {
     ApplyService(session, now);
   }
-  last_agent_connect_ = now;
+  start_up_.OnAgentConnected(now);
   session.SetSlowness(speed_model_.Slowness(session.handle().value), now);
   isolation_detector_.OnAgentContact(hello.data_centre, now);
   agents_.UpdatePool(session);
--- a/src/jayrill/entry/dispatcher.h
+++ b/src/jayrill/entry/dispatcher.h
@@ -20,6 +20,7 @@
 #include "jayrill/entry/isolation_detector.h"
 #include "jayrill/entry/job_table.h"
 #include "jayrill/entry/refusal.h"
+#include "jayrill/entry/start_up/start_up_wait.h"
 #include "jayrill/entry/task_placer.h"
 #include "jayrill/placement/quota_ledger.h"
 #include "jayrill/placement/retry_budget.h"
@@ -29,13 +30,6 @@
 
 namespace jayrill {
 
-/// Longest time that an entry waits for agents to connect after its start.
-inline constexpr std::chrono::milliseconds kMaxAgentWait{1000};
-
-/// The wait for agents ends early when no further agent has connected for this
-/// long. Without the wait, the first agents would get all the work.
-inline constexpr std::chrono::milliseconds kAgentQuietTime{200};
-
 /// Time that the tasks of a service wait for a minion that may run them. Their
 /// jobs fail afterwards.
 inline constexpr std::chrono::milliseconds kNoMinionGracePeriod{2000};
@@ -130,7 +124,7 @@
   bool IsReady() const {
     // Called once a turn of the event loop, so the agents are counted only when
     // their number matters.
-    return config_ != nullptr && HasWaitedForAgents() &&
+    return config_ != nullptr && start_up_.IsOver(time_.Now()) &&
            (limits_.ready_agents == 0 ||
             agents_.connected() >= limits_.ready_agents);
   }
@@ -174,6 +168,11 @@
       const profile& job_profile,
       std::chrono::microseconds longest);
 
+  /// \returns a refusal when the agents that have connected since the start of
+  /// the entry can't end the job within its latency objective.
+  std::optional<refusal> CheckStartUp(const job_spec& spec,
+                                      const service_pool& pool) const;
+
   /// \returns a refusal when tasks of the profile wait too long at present to
   /// meet its latency objective.
   std::optional<refusal> CheckObjective(const job_spec& spec,
@@ -251,8 +250,12 @@
   // Sending (dispatcher_sending.cc).
   bool MaySend() const;
 
-  /// \returns true when the wait for agents after the start is over.
-  bool HasWaitedForAgents() const;
+  /// \returns true when \p task may be started: always, once the wait for
+  /// agents after the start of the entry is over.
+  bool IsDue(const queued_task& task, steady_time now) const;
+
+  /// Logs and counts the end of the wait for agents, once.
+  void OnStartUpEnded();
 
   /// \returns true when the quota of \p team and the limit of the profile of
   /// the service allow one more running task.
@@ -294,7 +297,8 @@
   dispatch_output& output_;
   const dispatch_limits limits_;
   steady_time started_;
-  std::optional<steady_time> last_agent_connect_;
+  start_up_wait start_up_;
+  bool is_start_up_over_ = false;  ///< OnStartUpEnded was called.
   agent_table agents_;
   job_table jobs_;
   crash_table crashes_;
--- a/src/jayrill/entry/dispatcher_jobs.cc
+++ b/src/jayrill/entry/dispatcher_jobs.cc
@@ -91,9 +91,8 @@
   const steady_time now = time_.Now();
   service_pool& pool = agents_.Pool(spec.service);
   const auto since = pool.UpdateUnavailableSince(*config_, now);
-  // The minions of the service are not all known yet.
-  if (!HasWaitedForAgents()) {
-    return std::nullopt;
+  if (!start_up_.IsOver(now)) {
+    return CheckStartUp(spec, pool);
   }
   if (since) {
     // A minion may still announce the service within the grace period.
@@ -201,6 +200,28 @@
   return Scale(longest, job_profile.slack_factor) + job_profile.target_latency;
 }
 
+std::optional<refusal> dispatcher::CheckStartUp(
+    const job_spec& spec,
+    const service_pool& pool) const {
+  const profile& job_profile = ProfileOf(spec);
+  const fleet_speed fleet = ComputeFleetSpeed(pool, spec.tasks.front().needs);
+  if (job_profile.slack_factor <= 0 || fleet.capacity <= 0) {
+    return std::nullopt;
+  }
+  start_up_load load;
+  load.capacity = fleet.capacity;
+  load.work = pool.RunTimeAhead(job_profile.urgency);
+  for (const task_spec& task : spec.tasks) {
+    const auto run_time =
+        speed_model_.ExpectedRunTime(spec.service, task.kind, task.declared);
+    load.work += run_time;
+    load.longest_task = std::max(load.longest_task, run_time);
+  }
+  load.objective = LatencyObjective(job_profile, load.longest_task);
+  load.longest_task = Scale(load.longest_task, 1.0 / fleet.fastest);
+  return start_up_.Check(load);
+}
+
 std::optional<refusal> dispatcher::CheckObjective(
     const job_spec& spec,
     const service_pool& pool) const {
--- a/src/jayrill/entry/dispatcher_sending.cc
+++ b/src/jayrill/entry/dispatcher_sending.cc
@@ -1,3 +1,5 @@
+#include <glog/logging.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -113,10 +115,25 @@
   }
 }
 
-bool dispatcher::HasWaitedForAgents() const {
-  const steady_time now = time_.Now();
-  return now - started_ >= kMaxAgentWait ||
-         (last_agent_connect_ && now - *last_agent_connect_ >= kAgentQuietTime);
+void dispatcher::OnStartUpEnded() {
+  is_start_up_over_ = true;
+  std::size_t waiting = 0;
+  for (const auto& [service, pool] : agents_.pools()) {
+    waiting += pool.waiting();
+  }
+  const auto refused = counters_.failures.find(kStartingCode);
+  counters_.start_up_wait = start_up_.Duration();
+  LOG(INFO) << "dispatch: the wait for agents is over after_ms="
+            << counters_.start_up_wait.count()
+            << " agents=" << agents_.connected()
+            << " jobs=" << jobs_.undecided() << " waiting_tasks=" << waiting
+            << " starts=" << counters_.starts << " refused="
+            << (refused == counters_.failures.end() ? 0 : refused->second);
+}
+
+bool dispatcher::IsDue(const queued_task& task, steady_time now) const {
+  return start_up_.IsOver(now) || (task.due != steady_time{} &&
+                                   start_up_.IsDue(task.due - task.run_time));
 }
 
 bool dispatcher::IsIsolated() const {
@@ -124,7 +141,7 @@
 }
 
 bool dispatcher::MaySend() const {
-  return config_ && HasWaitedForAgents() && !IsIsolated();
+  return config_ && !IsIsolated();
 }
 
 void dispatcher::RepeatCancels() {
@@ -154,6 +171,9 @@
     return;
   }
   const steady_time now = time_.Now();
+  if (!is_start_up_over_ && start_up_.IsOver(now)) {
+    OnStartUpEnded();
+  }
   for (auto& [service, pool] : agents_.pools()) {
     if (!pool.needs_placement() || pool.waiting() == 0) {
       continue;
@@ -164,6 +184,7 @@
         [this, &pool = pool](const std::string& team) {
           return MayStart(team, pool);
         },
+        [this, now](const queued_task& task) { return IsDue(task, now); },
         [this](const queued_task& task) {
           return jobs_.Find(task.job)->expected_end;
         },
@@ -201,7 +222,9 @@
     retry_budget_.OnFirstStart();
     // While minions give starts back, a start does not show that the wait is
     // over.
+    // While agents connect, it says nothing about the load.
     const bool ends_wait =
+        start_up_.IsOver(now) &&
         !agents_.Pool(job.spec.service).AreStartsReturned(now);
     if (ends_wait && !task.is_late) {
       start_delays_[job.spec.profile].OnStart(
--- a/src/jayrill/entry/task_placer.cc
+++ b/src/jayrill/entry/task_placer.cc
@@ -18,6 +18,7 @@
                              const cluster_config& config,
                              steady_time now,
                              const quota_check& may_start,
+                             const task_check& is_due,
                              const job_end_lookup& expected_end,
                              const start_sender& send_task) {
   MakeViews(pool, config, now);
@@ -30,6 +31,10 @@
   std::map<task_key, steady_time> skipped_since;
   while (queue_cursor* const next = NextCursor()) {
     const queued_task task = *next->position;
+    if (!is_due(task)) {
+      ++next->position;
+      continue;
+    }
     const auto slack = std::chrono::duration_cast<std::chrono::microseconds>(
         expected_end(task) - now);
     const auto choice =
--- a/src/jayrill/entry/task_placer.h
+++ b/src/jayrill/entry/task_placer.h
@@ -23,6 +23,8 @@
  public:
   /// \returns true when \p team may have one more task running.
   using quota_check = std::function<bool(const std::string& team)>;
+  /// \returns true when \p task may be started now.
+  using task_check = std::function<bool(const queued_task& task)>;
   /// \returns when the job of \p task is expected to end.
   using job_end_lookup = std::function<steady_time(const queued_task& task)>;
   /// Sends \p task to \p session.
@@ -41,6 +43,7 @@
                   const cluster_config& config,
                   steady_time now,
                   const quota_check& may_start,
+                  const task_check& is_due,
                   const job_end_lookup& expected_end,
                   const start_sender& send_task);
 
