Find out whether an expiring job has run before it is answered

Cause: a job failed at its deadline with "may have run" when one of its starts had no result, although most such starts waited at an agent.

--- a/src/jayrill/entry/dispatch_counters.h
+++ b/src/jayrill/entry/dispatch_counters.h
@@ -27,6 +27,10 @@
   std::uint64_t dropped_results = 0;
   std::uint64_t sessions_lost = 0;  ///< Or ended by the agent.
   std::uint64_t pauses = 0;
+  /// Jobs about to expire whose starts were cancelled: all ends came before the
+  /// deadline, or did not.
+  std::uint64_t settled_in_time = 0;
+  std::uint64_t settled_too_late = 0;
   /// How long the entry has waited for its first agents.
   std::chrono::milliseconds start_up_wait{};
   std::map<std::string, std::uint64_t> failures;  ///< By code.
--- a/src/jayrill/entry/dispatch_metrics.cc
+++ b/src/jayrill/entry/dispatch_metrics.cc
@@ -32,6 +32,12 @@
      &dispatch_counters::dropped_results},
     {"jayrill_sessions_lost_total", "Sessions with agents that were lost.",
      &dispatch_counters::sessions_lost},
+    {"jayrill_jobs_settled_total",
+     "Expiring jobs of which all starts had ended before the deadline.",
+     &dispatch_counters::settled_in_time},
+    {"jayrill_jobs_unsettled_total",
+     "Expiring jobs with a start that had not ended at the deadline.",
+     &dispatch_counters::settled_too_late},
     {"jayrill_pauses_total", "Pauses of this process beyond the pause limit.",
      &dispatch_counters::pauses},
 };
--- a/src/jayrill/entry/dispatcher.h
+++ b/src/jayrill/entry/dispatcher.h
@@ -279,6 +279,12 @@
   /// kNoMinionGracePeriod.
   void CheckServiceAvailability();
   void ExpireJobs();
+  /// Cancels the starts of the jobs that are about to expire, where that tells
+  /// their callers whether anything has run.
+  /// \sa ShouldSettle
+  void SettleJobs();
+  /// Fails \p job, which settles, once the ends of all its starts are known.
+  void FailIfSettled(job_record& job);
   void OnPause();
 
   /// Fails the jobs that their callers may have submitted to another entry
--- a/src/jayrill/entry/dispatcher_jobs.cc
+++ b/src/jayrill/entry/dispatcher_jobs.cc
@@ -6,6 +6,7 @@
 
 #include "jayrill/entry/admission.h"
 #include "jayrill/entry/dispatcher.h"
+#include "jayrill/entry/expiry/settling.h"
 
 namespace jayrill {
 
@@ -274,6 +275,9 @@
   jobs_.ShortenDeadline(
       job, std::min(job.deadline - kAnswerMargin,
                     job.arrival + Scale(objective, kMaxObjectiveFactor)));
+  if (job.spec.repeatable) {
+    jobs_.SetSettleStart(job, job.deadline - kSettleTime);
+  }
 }
 
 void dispatcher::Refuse(job_id id, const refusal& reason) {
--- a/src/jayrill/entry/dispatcher_results.cc
+++ b/src/jayrill/entry/dispatcher_results.cc
@@ -60,6 +60,9 @@
     jobs_.RemoveIfEnded(*job);
   } else if (job->collector.outcome()) {
     OnDecided(*job);
+  } else if (job->is_settling) {
+    job->unfinished -= end.outcome == task_outcome::kSucceeded ? 1 : 0;
+    FailIfSettled(*job);
   } else if (runs_again || end.outcome == task_outcome::kNotRun) {
     RetryOrFail(*job, task.task_index, end);
   } else {
--- a/src/jayrill/entry/dispatcher_sending.cc
+++ b/src/jayrill/entry/dispatcher_sending.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "jayrill/entry/dispatcher.h"
+#include "jayrill/entry/expiry/settling.h"
 #include "jayrill/entry/heartbeat.h"
 
 namespace jayrill {
@@ -20,6 +21,11 @@
 constexpr std::uint32_t kManyReturns = 4;
 constexpr std::chrono::milliseconds kLongAgentWaitTime{100};
 
+refusal DeadlinePassed() {
+  return {"deadline_exceeded", "the deadline of the job has passed",
+          "submit again with a longer deadline"};
+}
+
 }  // namespace
 
 void dispatcher::BeginEvent() {
@@ -109,10 +115,40 @@
 }
 
 void dispatcher::ExpireJobs() {
+  SettleJobs();
   for (const job_id id : jobs_.ExpiredJobs(time_.Now())) {
-    FailJob(id, {"deadline_exceeded", "the deadline of the job has passed",
-                 "submit again with a longer deadline"});
+    const job_record& job = *jobs_.Find(id);
+    counters_.settled_too_late += job.is_settling ? 1 : 0;
+    FailJob(id, DeadlinePassed());
+  }
+}
+
+void dispatcher::SettleJobs() {
+  for (const job_id id : jobs_.TakeJobsToSettle(time_.Now())) {
+    job_record& job = *jobs_.Find(id);
+    settle_state state;
+    state.arrival = job.arrival;
+    state.deadline = job.deadline;
+    state.objective = std::chrono::duration_cast<std::chrono::microseconds>(
+        job.due - job.arrival);
+    state.has_run = job.collector.HasRun();
+    state.is_started = job.IsStarted();
+    if (!ShouldSettle(state)) {
+      continue;
+    }
+    job.is_settling = true;
+    agents_.Pool(job.spec.service).RemoveJob(job.spec.team, id);
+    CancelOutstanding(job);
+    FailIfSettled(job);
+  }
+}
+
+void dispatcher::FailIfSettled(job_record& job) {
+  if (!job.is_settling || job.outstanding > 0) {
+    return;
   }
+  ++counters_.settled_in_time;
+  FailJob(job.id, DeadlinePassed());
 }
 
 void dispatcher::OnStartUpEnded() {
--- a/src/jayrill/entry/job_record.h
+++ b/src/jayrill/entry/job_record.h
@@ -55,6 +55,12 @@
   std::uint32_t unfinished;       ///< Tasks without a success.
   std::uint32_t outstanding = 0;  ///< Starts without a result.
   bool decided = false;
+  /// Its starts were cancelled shortly before its deadline, so that the caller
+  /// can be told whether it has run.
+  bool is_settling = false;
+
+  /// \returns true when each task without a success has an outstanding start.
+  bool IsStarted() const { return outstanding == unfinished; }
 
   /// \returns the queue entry of task \p index.
   queued_task Queued(std::uint32_t index) const {
--- a/src/jayrill/entry/job_table.cc
+++ b/src/jayrill/entry/job_table.cc
@@ -1,5 +1,7 @@
 #include "jayrill/entry/job_table.h"
 
+#include <algorithm>
+
 namespace jayrill {
 
 namespace {
@@ -39,6 +41,24 @@
   }
 }
 
+void job_table::SetSettleStart(const job_record& job,
+                               steady_time settle_start) {
+  settle_starts_.emplace(settle_start, job.id);
+}
+
+std::vector<job_id> job_table::TakeJobsToSettle(steady_time now) {
+  std::vector<job_id> due;
+  while (!settle_starts_.empty() && settle_starts_.begin()->first <= now) {
+    const job_id id = settle_starts_.begin()->second;
+    settle_starts_.erase(settle_starts_.begin());
+    const job_record* const job = Find(id);
+    if (job != nullptr && !job->decided) {
+      due.push_back(id);
+    }
+  }
+  return due;
+}
+
 void job_table::MarkDecided(job_record& job) {
   job.decided = true;
   deadlines_.erase({job.deadline, job.id});
@@ -81,7 +101,10 @@
   if (deadlines_.empty()) {
     return std::nullopt;
   }
-  return deadlines_.begin()->first;
+  const steady_time deadline = deadlines_.begin()->first;
+  return settle_starts_.empty()
+             ? deadline
+             : std::min(deadline, settle_starts_.begin()->first);
 }
 
 std::map<std::string, std::uint32_t> job_table::TeamDemand() const {
--- a/src/jayrill/entry/job_table.h
+++ b/src/jayrill/entry/job_table.h
@@ -31,6 +31,12 @@
   /// Sets the deadline of \p job to \p deadline if that is earlier.
   void ShortenDeadline(job_record& job, steady_time deadline);
 
+  /// Lets TakeJobsToSettle return \p job once, at \p settle_start.
+  void SetSettleStart(const job_record& job, steady_time settle_start);
+
+  /// \returns the undecided jobs whose settle start has come, once each.
+  std::vector<job_id> TakeJobsToSettle(steady_time now);
+
   /// Marks \p job as decided, so that it does not expire, and frees its
   /// payloads.
   void MarkDecided(job_record& job);
@@ -41,7 +47,7 @@
   /// \returns the undecided jobs whose deadline has come.
   std::vector<job_id> ExpiredJobs(steady_time now) const;
 
-  /// \returns the next deadline of an undecided job.
+  /// \returns the next deadline or settle start of an undecided job.
   std::optional<steady_time> NextDeadline() const;
 
   /// \returns the undecided jobs whose callers may submit them again.
@@ -57,6 +63,8 @@
  private:
   std::unordered_map<job_id, std::unique_ptr<job_record>> jobs_;
   std::set<std::pair<steady_time, job_id>> deadlines_;
+  /// Jobs that were decided meanwhile are dropped when their time comes.
+  std::set<std::pair<steady_time, job_id>> settle_starts_;
   std::size_t payload_bytes_ = 0;
 };
 
--- a/src/jayrill/job/job_collector.cc
+++ b/src/jayrill/job/job_collector.cc
@@ -87,6 +87,13 @@
   return true;
 }
 
+bool job_collector::HasRun() const {
+  return has_ended_run_ ||
+         std::any_of(states_.begin(), states_.end(), [](task_state state) {
+           return state != task_state::kWaiting && state != task_state::kSent;
+         });
+}
+
 job_effect job_collector::EffectSoFar() const {
   const auto has = [this](task_state wanted) {
     return std::find(states_.begin(), states_.end(), wanted) != states_.end();
@@ -94,11 +101,7 @@
   if (has(task_state::kSent) || has(task_state::kUnknown)) {
     return job_effect::kMayHaveRun;
   }
-  if (has_ended_run_ || has(task_state::kFailed) ||
-      has(task_state::kSucceeded)) {
-    return job_effect::kRanAndFailed;
-  }
-  return job_effect::kNotRun;
+  return HasRun() ? job_effect::kRanAndFailed : job_effect::kNotRun;
 }
 
 std::vector<std::uint32_t> job_collector::OutstandingTasks() const {
--- a/src/jayrill/job/job_collector.h
+++ b/src/jayrill/job/job_collector.h
@@ -57,6 +57,10 @@
   /// no start is outstanding and no task has run.
   job_effect EffectSoFar() const;
 
+  /// \returns true when a task has run for certain or its result is lost, so
+  /// that the effect can't become kNotRun any more.
+  bool HasRun() const;
+
   /// \returns the indices of the tasks with an outstanding start.
   std::vector<std::uint32_t> OutstandingTasks() const;
 
