Share the room of a minion between queues by weight

Cause: starts of all queues waited in one order at an agent, and a start was given back as busy whatever its urgency, so that urgent queues were refused as often as the others when room was short.

Change: room_share keeps weighted max-min fair shares of core time at the agent. While starts of several queues wait, queues below their share go first, and the expected wait of an arriving start counts those before it only. With one queue nothing changes.

--- a/src/jayrill/agent/agent_core.cc
+++ b/src/jayrill/agent/agent_core.cc
@@ -110,8 +110,12 @@
   if (!resumed) {
     // The entry has already reported the starts of the old session as lost, so
     // they must not run.
-    queue_.WithdrawIf(
-        [entry](const queued_start& start) { return start.entry == entry; });
+    for (const queued_start& start :
+         queue_.WithdrawIf([entry](const queued_start& item) {
+           return item.entry == entry;
+         })) {
+      shares_.OnWaitEnded(start.order, time_.Now());
+    }
     StopRuns([entry](const running_call& run) { return run.entry == entry; });
     host_.StatusChanged();
   }
@@ -189,6 +193,7 @@
     return;
   }
   queue_.FreeSlot(found->second.run_time, found->second.needs);
+  shares_.OnRunEnded(found->second.charge, found->second.run_time, time_.Now());
   running_.erase(found);
   DispatchWaiting();
   host_.StatusChanged();
@@ -199,6 +204,10 @@
     const refusal& why) {
   const steady_time now = time_.Now();
   for (const queued_start& start : queue_.WithdrawIf(matches)) {
+    shares_.OnWaitEnded(start.order, now);
+    if (why.reason == not_run_reason::kBusy) {
+      shares_.OnReturned(start.order);
+    }
     Refuse(start.entry, start.order.number, why, Micros(now - start.arrived));
   }
 }
--- a/src/jayrill/agent/agent_core.h
+++ b/src/jayrill/agent/agent_core.h
@@ -17,10 +17,12 @@
 #include "jayrill/agent/crash_log.h"
 #include "jayrill/agent/entry_session.h"
 #include "jayrill/agent/minion_departure.h"
+#include "jayrill/agent/room_share.h"
 #include "jayrill/agent/run_pace.h"
 #include "jayrill/agent/run_queue.h"
 #include "jayrill/agent/task_call.h"
 #include "jayrill/base/clock.h"
+#include "jayrill/base/log_limit.h"
 #include "jayrill/config/cluster_config.h"
 #include "jayrill/job/task_result.h"
 #include "jayrill/session/pause_detector.h"
@@ -172,6 +174,9 @@
   bool HasGuardedRuns(incarnation entry) const;
   const config_copy& config() const { return config_; }
   agent_counters& counters() { return counters_; }
+  const std::map<std::string, queue_usage>& queue_usages() const {
+    return shares_.usage();
+  }
 
  private:
   struct running_call {
@@ -189,6 +194,7 @@
     bool stopped = false;  ///< Was stopped because its entry was silent.
     run_guard_ptr guard = {};
     bool is_order_lost = false;
+    run_charge charge = {};
   };
   struct refusal {
     not_run_reason reason;
@@ -201,9 +207,20 @@
   bool IsServiceKnown(const std::string& service) const;
   bool IsRetiring(incarnation entry) const;
 
-  /// \returns how long a start with \p needs that arrives now is expected to
+  /// \returns how long \p order, which arrives now, is expected to
   /// wait for a slot and for its resources.
-  std::chrono::milliseconds ExpectedWait(const resource_amount& needs) const;
+  std::chrono::milliseconds ExpectedWait(const start_request& order) const;
+
+  /// \returns true when \p order, which arrives now, would wait for longer than
+  /// it may.
+  bool WouldWaitTooLong(const start_request& order);
+
+  /// \returns which waiting starts go before the others while queues compete
+  /// for the room: those of queues below their share.
+  run_queue::start_check StartsGoingFirst() const;
+
+  /// Logs when queues begin or cease to compete for the room.
+  void LogContention();
 
   /// \returns the slowness of the minion in percent for its status, or 0 when
   /// it is not known.
@@ -245,6 +262,9 @@
   host& host_;
   pause_detector pause_;
   run_queue queue_;
+  room_share shares_;
+  bool is_contended_ = false;  ///< As last logged.
+  log_limit share_log_limit_;
   run_pace pace_;
   crash_log crashes_;
   std::map<incarnation, entry_session> sessions_;
--- a/src/jayrill/agent/agent_core_starts.cc
+++ b/src/jayrill/agent/agent_core_starts.cc
@@ -48,8 +48,8 @@
     } else if (session.retiring()) {
       Refuse(entry, order.number,
              {not_run_reason::kDraining, "the agent leaves this entry"}, {});
-    } else if (order.max_wait.count() > 0 &&
-               ExpectedWait(order.needs) > order.max_wait) {
+    } else if (WouldWaitTooLong(order)) {
+      shares_.OnReturned(order);
       Refuse(entry, order.number, {not_run_reason::kBusy, "the minion is busy"},
              {});
     } else if (queue_.IsFull()) {
@@ -68,11 +68,24 @@
          time_.Now() - *batch.placed > settings_.silence_timeout;
 }
 
+bool agent_core::WouldWaitTooLong(const start_request& order) {
+  if (order.max_wait.count() == 0) {
+    return false;
+  }
+  // Its queue competes for the room from now on.
+  const steady_time now = time_.Now();
+  shares_.OnWaiting(order, now);
+  const bool is_too_long = ExpectedWait(order) > order.max_wait;
+  shares_.OnWaitEnded(order, now);
+  return is_too_long;
+}
+
 void agent_core::Enqueue(incarnation entry,
                          const start_request& order,
                          steady_time placed) {
   const steady_time now = time_.Now();
   ++counters_.admitted;
+  shares_.OnWaiting(order, now);
   queue_.Push({entry, order, now, now + order.remaining, placed});
 }
 
@@ -106,6 +119,7 @@
   for (const start_number number : numbers) {
     const auto withdrawn = queue_.Withdraw(entry, number);
     if (withdrawn) {
+      shares_.OnWaitEnded(withdrawn->order, time_.Now());
       Refuse(entry, number, {not_run_reason::kCancelled, "cancelled"},
              Micros(time_.Now() - withdrawn->arrived));
     }
@@ -121,7 +135,9 @@
   if (CheckPause()) {
     return;
   }
-  while (auto next = queue_.TakeNext(slots(), room())) {
+  LogContention();
+  while (auto next = queue_.TakeNext(slots(), room(), StartsGoingFirst())) {
+    shares_.OnWaitEnded(next->order, time_.Now());
     if (const auto why = FindRefusal(next->order, next->deadline)) {
       // TakeNext has marked the slot as busy.
       queue_.FreeSlot({}, next->order.needs);
@@ -133,8 +149,30 @@
   }
 }
 
+run_queue::start_check agent_core::StartsGoingFirst() const {
+  if (!shares_.IsContended()) {
+    return {};
+  }
+  return [this, now = time_.Now()](const start_request& order) {
+    return shares_.IsBelowShare(order, now);
+  };
+}
+
+void agent_core::LogContention() {
+  const steady_time now = time_.Now();
+  if (shares_.IsContended() == is_contended_ || !share_log_limit_.Allows(now)) {
+    return;
+  }
+  is_contended_ = shares_.IsContended();
+  LOG(INFO) << "agent: queues "
+            << (is_contended_ ? "compete" : "no longer compete")
+            << " for the room of the minion use=" << shares_.Describe(now)
+            << share_log_limit_.TakeLinesLeftOutField();
+}
+
 void agent_core::StartCall(queued_start start) {
   const steady_time now = time_.Now();
+  const run_charge charge = shares_.OnRunStarted(start.order, now);
   const std::uint64_t call = ++last_call_;
   const run_guard_ptr guard(new run_guard(start.placed));
   running_[call] = {start.entry,
@@ -149,7 +187,9 @@
                     {},
                     start.order.needs,
                     false,
-                    guard};
+                    guard,
+                    false,
+                    charge};
   ++counters_.calls;
   host_.Call({call, std::move(start.order), minion_->port, now, start.deadline,
               guard});
--- a/src/jayrill/agent/agent_core_status.cc
+++ b/src/jayrill/agent/agent_core_status.cc
@@ -38,12 +38,13 @@
 }
 
 std::chrono::milliseconds agent_core::ExpectedWait(
-    const resource_amount& needs) const {
+    const start_request& order) const {
   if (queue_.waiting() == 0 && queue_.busy() < slots() &&
-      IsWithin(queue_.running_use() + needs, room())) {
+      IsWithin(queue_.running_use() + order.needs, room())) {
     return {};
   }
-  // Each start that waits already takes the place of one run that ends.
+  // Each start that goes before takes the place of one run that ends.
+  const std::size_t ahead = queue_.CountAhead(order, StartsGoingFirst());
   const steady_time now = time_.Now();
   std::vector<steady_duration> remaining;
   remaining.reserve(running_.size());
@@ -54,11 +55,10 @@
                             : std::chrono::duration_cast<steady_duration>(
                                   -left * kOverdueFraction));
   }
-  if (queue_.waiting() >= remaining.size()) {
+  if (ahead >= remaining.size()) {
     return std::chrono::milliseconds::max();
   }
-  const auto next =
-      remaining.begin() + static_cast<std::ptrdiff_t>(queue_.waiting());
+  const auto next = remaining.begin() + static_cast<std::ptrdiff_t>(ahead);
   std::nth_element(remaining.begin(), next, remaining.end());
   return std::chrono::duration_cast<std::chrono::milliseconds>(*next);
 }
--- a/src/jayrill/agent/agent_process.h
+++ b/src/jayrill/agent/agent_process.h
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -19,6 +20,7 @@
 #include "jayrill/agent/minion_client.h"
 #include "jayrill/agent/minion_departure.h"
 #include "jayrill/agent/minion_port.h"
+#include "jayrill/agent/room_share.h"
 #include "jayrill/base/clock.h"
 #include "jayrill/base/error.h"
 #include "jayrill/base/log_limit.h"
@@ -39,6 +41,7 @@
   std::size_t connected_entries = 0;
   /// Announcements that were malformed, late, or not of a minion that answers.
   std::uint64_t ignored_announcements = 0;
+  std::map<std::string, queue_usage> queues;
 
   auto operator<=>(const agent_view&) const = default;
 };
--- a/src/jayrill/agent/internal/agent_loop.cc
+++ b/src/jayrill/agent/internal/agent_loop.cc
@@ -76,7 +76,8 @@
       links_at_last_tick_ = connected_links();
       ScheduleLinkUpdate();
     }
-    on_view_({core_.counters(), core_.Status(), connected_links()});
+    on_view_({core_.counters(), core_.Status(), connected_links(), 0,
+              core_.queue_usages()});
     if (stop_started_at_) {
       FinishStop();
     }
--- a/src/jayrill/agent/internal/counters_text.cc
+++ b/src/jayrill/agent/internal/counters_text.cc
@@ -1,8 +1,11 @@
 #include "jayrill/agent/internal/counters_text.h"
 
 #include <sstream>
+#include <string>
 #include <string_view>
 
+#include "jayrill/job/job_codec.h"
+
 namespace jayrill::agent::internal {
 
 namespace {
@@ -50,6 +53,13 @@
        << "jayrill_agent_ignored_announcements_total "
        << view.ignored_announcements << '\n'
        << "jayrill_agent_connected_entries " << view.connected_entries << '\n';
+  for (const auto& [name, usage] : view.queues) {
+    const std::string label = "{queue=" + QuoteJson(name) + "} ";
+    text << "jayrill_agent_queue_core_seconds_total" << label
+         << usage.core_seconds << '\n'
+         << "jayrill_agent_queue_returned_total" << label << usage.returned
+         << '\n';
+  }
   const char* const lost = "jayrill_agent_lost_calls_total{call=\"";
   text << lost << "start\"} " << lost_calls.starts << '\n'
        << lost << "stop\"} " << lost_calls.stops << '\n'
--- a/src/jayrill/agent/run_queue.cc
+++ b/src/jayrill/agent/run_queue.cc
@@ -1,5 +1,6 @@
 #include "jayrill/agent/run_queue.h"
 
+#include <algorithm>
 #include <cassert>
 #include <cmath>
 
@@ -27,11 +28,18 @@
 }
 
 std::optional<queued_start> run_queue::TakeNext(std::uint32_t slots,
-                                                const resource_amount& room) {
+                                                const resource_amount& room,
+                                                const start_check& goes_first) {
   if (busy_ >= slots || waiting_.empty()) {
     return std::nullopt;
   }
-  const auto first = waiting_.begin();
+  auto first = waiting_.begin();
+  if (goes_first) {
+    const auto preferred = std::find_if(
+        waiting_.begin(), waiting_.end(),
+        [&](const auto& item) { return goes_first(item.second.order); });
+    first = preferred == waiting_.end() ? first : preferred;
+  }
   const resource_amount needs = first->second.order.needs;
   if (!IsWithin(running_use_ + needs, room)) {
     return std::nullopt;
@@ -45,6 +53,17 @@
   return start;
 }
 
+std::size_t run_queue::CountAhead(const start_request& arriving,
+                                  const start_check& goes_first) const {
+  const bool is_preferred = goes_first && goes_first(arriving);
+  const double priority = ReplaceNan(arriving.priority);
+  return static_cast<std::size_t>(
+      std::count_if(waiting_.begin(), waiting_.end(), [&](const auto& item) {
+        const bool other = goes_first && goes_first(item.second.order);
+        return other == is_preferred ? item.first.priority <= priority : other;
+      }));
+}
+
 void run_queue::FreeSlot(std::chrono::microseconds run_time,
                          const resource_amount& needs) {
   assert(busy_ > 0 && "FreeSlot must follow a TakeNext");
--- a/src/jayrill/agent/run_queue.h
+++ b/src/jayrill/agent/run_queue.h
@@ -33,6 +33,10 @@
 /// Also counts the busy slots and the resources in use. Not thread-safe.
 class run_queue {
  public:
+  /// \returns true when a start should go before the others; empty: none
+  /// should.
+  using start_check = std::function<bool(const start_request&)>;
+
   explicit run_queue(std::size_t limit) : limit_(limit) {}
 
   /// \returns true when no further start can wait.
@@ -41,13 +45,19 @@
   /// Adds \p start. The queue must not be full.
   void Push(queued_start start);
 
-  /// Takes the first start and marks a slot as busy. \p room is the capacity
-  /// that the running tasks share; the first start waits until its needs fit,
-  /// and later ones do not overtake it.
+  /// Takes the first start, or the first one for which \p goes_first is true,
+  /// and marks a slot as busy. \p room is the capacity that the running tasks
+  /// share; the chosen start waits until its needs fit, and others do not
+  /// overtake it.
   /// \returns nothing when no start waits, \p slots slots are busy or the needs
   /// do not fit.
   std::optional<queued_start> TakeNext(std::uint32_t slots,
-                                       const resource_amount& room = {});
+                                       const resource_amount& room = {},
+                                       const start_check& goes_first = {});
+
+  /// \returns the number of waiting starts that go before \p arriving.
+  std::size_t CountAhead(const start_request& arriving,
+                         const start_check& goes_first = {}) const;
 
   /// Frees a slot and \p needs after a task that ran for \p run_time. A zero
   /// \p run_time is left out of the mean run time.
--- a/src/jayrill/entry/dispatcher_sending.cc
+++ b/src/jayrill/entry/dispatcher_sending.cc
@@ -6,6 +6,7 @@
 #include "jayrill/entry/dispatcher.h"
 #include "jayrill/entry/expiry/settling.h"
 #include "jayrill/entry/heartbeat.h"
+#include "jayrill/placement/share_weight.h"
 
 namespace jayrill {
 
@@ -301,6 +302,8 @@
   request.expected_run = std::chrono::ceil<std::chrono::milliseconds>(expected);
   request.typical_run =
       std::chrono::ceil<std::chrono::milliseconds>(task.run_time);
+  request.profile = job.profile;
+  request.share_weight = ShareWeight(job.urgency);
   if (!placer_.BindsEarly()) {
     request.max_wait =
         record.returns < kManyReturns ? kMaxAgentWaitTime : kLongAgentWaitTime;
--- a/src/jayrill/placement.h
+++ b/src/jayrill/placement.h
@@ -11,6 +11,7 @@
 #include "jayrill/placement/placement_strategy.h"
 #include "jayrill/placement/quota_ledger.h"
 #include "jayrill/placement/retry_budget.h"
+#include "jayrill/placement/share_weight.h"
 #include "jayrill/placement/slow_start.h"
 #include "jayrill/placement/speed_model.h"
 #include "jayrill/placement/task_queue.h"
