Decide how long a task waits for a place in its rack

Cause: jobs that name a rack or want one rack for all tasks were refused, and the entry knew no racks.

Change: near_place weighs the expected wait for a minion in the preferred rack against a run elsewhere at remote_factor times the run time, bounds the wait by what it saves, and corrects its estimates for each rack. Off where remote_factor is 1 and for tasks without a rack.

--- a/src/jayrill/agent/agent_core_status.cc
+++ b/src/jayrill/agent/agent_core_status.cc
@@ -108,6 +108,7 @@
     status.memory_mb = minion_->memory_mb;
     status.accelerators = minion_->accelerators;
     status.time_until_free = queue_.TimeUntilFree(slots());
+    status.rack = minion_->rack;
     status.room = minion_->room;
     status.used = queue_.used();
     status.warm_up_remaining = minion_->warm_up_remaining;
--- a/src/jayrill/agent/announcement.h
+++ b/src/jayrill/agent/announcement.h
@@ -29,6 +29,7 @@
   std::uint64_t sequence = 0;
   /// Capacity that its tasks share; 0 is not limited.
   resource_amount room;
+  std::string rack;       ///< Empty: agent_settings::rack.
   bool draining = false;  ///< It will stop and takes no new tasks.
   /// For how long the minion is still slow after its start.
   std::chrono::milliseconds warm_up_remaining{};
--- a/src/jayrill/cli/client_flags.cc
+++ b/src/jayrill/cli/client_flags.cc
@@ -81,6 +81,15 @@
           idempotent,
           true,
           "Whether the quick job may safely run more than once");
+ABSL_FLAG(
+    std::string,
+    preferred_rack,
+    "",
+    "Rack in which the tasks run fastest, for example that of their data");
+ABSL_FLAG(bool,
+          same_rack,
+          false,
+          "The tasks run faster when all of them run in one rack");
 ABSL_FLAG(std::string,
           request_key,
           "",
--- a/src/jayrill/cli/flags.h
+++ b/src/jayrill/cli/flags.h
@@ -21,6 +21,7 @@
 ABSL_DECLARE_FLAG(std::string, config);
 ABSL_DECLARE_FLAG(std::vector<std::string>, store_endpoints);
 ABSL_DECLARE_FLAG(std::string, placement_strategy);
+ABSL_DECLARE_FLAG(double, remote_factor);
 ABSL_DECLARE_FLAG(std::string, operator_secret);
 ABSL_DECLARE_FLAG(std::string, worker);
 ABSL_DECLARE_FLAG(std::string, rack);
@@ -71,6 +72,8 @@
 ABSL_DECLARE_FLAG(std::string, team);
 ABSL_DECLARE_FLAG(std::int64_t, deadline_ms);
 ABSL_DECLARE_FLAG(bool, idempotent);
+ABSL_DECLARE_FLAG(std::string, preferred_rack);
+ABSL_DECLARE_FLAG(bool, same_rack);
 ABSL_DECLARE_FLAG(std::string, request_key);
 
 // The command `load`.
--- a/src/jayrill/cli/role_flags.cc
+++ b/src/jayrill/cli/role_flags.cc
@@ -106,6 +106,11 @@
           1.0,
           "Processor cores that the entry may use; agents report less often to "
           "an entry with fewer cores");
+ABSL_FLAG(double,
+          remote_factor,
+          1.0,
+          "Run time of a task outside its preferred rack relative to that in "
+          "it; 1: racks do not matter");
 ABSL_FLAG(
     std::int64_t,
     repeat_after_ms,
--- a/src/jayrill/cli/role_settings.cc
+++ b/src/jayrill/cli/role_settings.cc
@@ -51,6 +51,7 @@
   settings.stop_delay =
       std::chrono::milliseconds(absl::GetFlag(FLAGS_stop_delay_ms));
   settings.strategy = absl::GetFlag(FLAGS_placement_strategy);
+  settings.limits.remote_factor = absl::GetFlag(FLAGS_remote_factor);
   settings.processor_cores = absl::GetFlag(FLAGS_processor_cores);
   settings.operator_secret = absl::GetFlag(FLAGS_operator_secret);
   return settings;
--- a/src/jayrill/cli/submit_command.cc
+++ b/src/jayrill/cli/submit_command.cc
@@ -67,8 +67,10 @@
   job.idempotent = absl::GetFlag(FLAGS_idempotent);
   job.deadline = milliseconds(absl::GetFlag(FLAGS_deadline_ms));
   const milliseconds work(absl::GetFlag(FLAGS_work_ms));
+  job.same_rack = absl::GetFlag(FLAGS_same_rack);
   job.tasks.assign(static_cast<std::size_t>(absl::GetFlag(FLAGS_tasks)),
-                   {absl::GetFlag(FLAGS_kind), work, work});
+                   {absl::GetFlag(FLAGS_kind), work, work,
+                    absl::GetFlag(FLAGS_preferred_rack)});
   std::string key = absl::GetFlag(FLAGS_request_key);
   if (!job.idempotent && key.empty()) {
     random_source random = random_source::FromSystem();
--- a/src/jayrill/entry/agent_session.cc
+++ b/src/jayrill/entry/agent_session.cc
@@ -160,6 +160,7 @@
   hello_.status.slots = std::min(status.slots, kMaxSlots);
   hello_.status.slowness_percent =
       std::min(status.slowness_percent, kMaxSlownessPercent);
+  rack_ = RackId(status.rack.empty() ? hello_.rack : status.rack);
   const std::uint64_t reported_load =
       std::uint64_t{status.busy} + status.queued;
   const std::uint64_t own_starts = window_.outstanding();
@@ -297,6 +298,7 @@
       static_cast<std::uint32_t>(std::lround(other_entries_load_ * load_left));
   view.room = hello_.status.room;
   view.used = own_use_ + other_entries_use_.Scaled(load_left);
+  view.rack = rack_;
   view.slowness = Slowness(now);
   view.last_start = last_start_;
   switch (health_.Permission(now)) {
--- a/src/jayrill/entry/agent_session.h
+++ b/src/jayrill/entry/agent_session.h
@@ -16,6 +16,7 @@
 #include "jayrill/entry/dispatch_port.h"
 #include "jayrill/placement/minion_health.h"
 #include "jayrill/placement/minion_view.h"
+#include "jayrill/placement/rack_id.h"
 #include "jayrill/placement/slow_start.h"
 #include "jayrill/session/peer_clock.h"
 #include "jayrill/session/start_window.h"
@@ -132,6 +133,8 @@
   const std::string& agent_id() const { return agent_id_; }
   const agent_hello& hello() const { return hello_; }
   const minion_status& status() const { return hello_.status; }
+  /// \returns the rack that the minion has announced, else that of the agent.
+  rack_id rack() const { return rack_; }
   connection_id connection() const { return connection_; }
   connection_epoch epoch() const { return window_.epoch(); }
   bool connected() const { return connected_; }
@@ -199,6 +202,7 @@
   std::string agent_id_;
   std::chrono::milliseconds slow_start_;
   agent_hello hello_;
+  rack_id rack_;
   start_window window_;
   peer_clock agent_clock_;
   session_number number_;  ///< Is the id of the connection that opened it.
--- a/src/jayrill/entry/dispatch_counters.h
+++ b/src/jayrill/entry/dispatch_counters.h
@@ -9,6 +9,18 @@
 
 namespace jayrill {
 
+/// Starts of one profile whose run time depends on the rack.
+struct near_counters {
+  std::uint64_t far_starts = 0;  ///< In another rack than the best one.
+  /// Waits for a place in the best rack that ended with a start: it ended
+  /// sooner than a start in another rack would have, or did not.
+  std::uint64_t waits_paid = 0;
+  std::uint64_t waits_unpaid = 0;
+  std::chrono::microseconds waited{};
+
+  auto operator<=>(const near_counters&) const = default;
+};
+
 /// Event counts of the dispatcher of an entry since its start.
 ///
 /// A message is one start, result, cancelled start, configuration, heartbeat
@@ -34,6 +46,7 @@
   /// How long the entry has waited for its first agents.
   std::chrono::milliseconds start_up_wait{};
   std::map<std::string, std::uint64_t> failures;  ///< By code.
+  std::map<std::string, near_counters> near;      ///< By profile.
 
   auto operator<=>(const dispatch_counters&) const = default;
 };
--- a/src/jayrill/entry/dispatch_metrics.cc
+++ b/src/jayrill/entry/dispatch_metrics.cc
@@ -50,6 +50,32 @@
 
 }  // namespace
 
+namespace {
+
+void UpdateNearMetrics(const std::string& profile,
+                       const near_counters& counters,
+                       metric_registry& metrics) {
+  constexpr char kWaits[] = "jayrill_near_waits_total";
+  constexpr char kWaitsHelp[] =
+      "Waits for a place in the best rack, by whether they saved time.";
+  metrics.Counter(kWaits, kWaitsHelp, {{"profile", profile}, {"paid", "true"}})
+      .RaiseTo(counters.waits_paid);
+  metrics.Counter(kWaits, kWaitsHelp, {{"profile", profile}, {"paid", "false"}})
+      .RaiseTo(counters.waits_unpaid);
+  metrics
+      .Counter("jayrill_near_waited_ms_total",
+               "Time of the waits for a place in the best rack.",
+               {{"profile", profile}})
+      .RaiseTo(static_cast<std::uint64_t>(counters.waited.count()) / 1000);
+  metrics
+      .Counter("jayrill_far_starts_total",
+               "Starts in another rack than the best one.",
+               {{"profile", profile}})
+      .RaiseTo(counters.far_starts);
+}
+
+}  // namespace
+
 void UpdateMetrics(const dispatch_status& status, metric_registry& metrics) {
   const dispatch_counters& counters = status.counters;
   for (const counter_field& field : kCounters) {
@@ -67,6 +93,9 @@
                  {{"code", code}})
         .RaiseTo(count);
   }
+  for (const auto& [profile, near] : counters.near) {
+    UpdateNearMetrics(profile, near, metrics);
+  }
   const auto connected =
       std::count_if(status.agents.begin(), status.agents.end(),
                     [](const agent_info& agent) { return agent.connected; });
--- a/src/jayrill/entry/dispatch_settings.h
+++ b/src/jayrill/entry/dispatch_settings.h
@@ -21,6 +21,9 @@
   /// Time after which a minion that joins or returns may use all of its slots.
   /// Until then SlowStartLimit applies.
   std::chrono::milliseconds slow_start{5000};
+  /// Run time of a task outside its preferred rack relative to that in it; 1:
+  /// racks do not matter.
+  double remote_factor = 1;
 
   auto operator<=>(const dispatch_limits&) const = default;
 };
--- a/src/jayrill/entry/dispatcher.cc
+++ b/src/jayrill/entry/dispatcher.cc
@@ -15,7 +15,7 @@
       limits_(limits),
       started_(time.Now()),
       start_up_(started_),
-      placer_(std::move(strategy)),
+      placer_(std::move(strategy), limits.remote_factor),
       isolation_detector_(std::move(data_centre), started_),
       pause_detector_(time) {}
 
--- a/src/jayrill/entry/dispatcher.h
+++ b/src/jayrill/entry/dispatcher.h
@@ -262,7 +262,12 @@
   bool MayStart(const std::string& team, const service_pool& pool) const;
 
   /// Adds a start of \p task to the outbox.
-  void QueueStart(const queued_task& task, agent_session& session);
+  void QueueStart(const queued_task& task,
+                  agent_session& session,
+                  const task_placer::start_place& place);
+  /// Counts the start of a task of \p job that depends on its rack.
+  void CountNearStart(const job_record& job,
+                      const task_placer::start_place& place);
   /// Sends the configuration to the agent of \p session if it has an older one.
   /// One is on its way at a time: an agent that is behind gets the newest one
   /// next, and not each one in between.
@@ -329,6 +334,7 @@
   std::map<agent_handle, start_batch> outbox_;  ///< Sent by Flush.
   std::set<agent_handle> cancels_due_;          ///< Agents for RepeatCancels.
   log_limit open_starts_log_;
+  log_limit near_wait_log_;
 };
 
 }  // namespace jayrill
--- a/src/jayrill/entry/dispatcher_results.cc
+++ b/src/jayrill/entry/dispatcher_results.cc
@@ -100,8 +100,11 @@
     return;
   }
   const std::uint64_t minion = session.handle().value;
+  const auto near_run_time =
+      std::chrono::duration_cast<std::chrono::microseconds>(
+          result.run_time / job.tasks[index].run_time_factor);
   speed_model_.Learn(job.spec.service, job.spec.tasks[index].kind, minion,
-                     result.run_time, job.spec.tasks[index].declared);
+                     near_run_time, job.spec.tasks[index].declared);
   agents_.Pool(job.spec.service).set_has_learned_times();
   agents_.Find(session.handle())
       ->SetSlowness(speed_model_.Slowness(minion), time_.Now());
--- a/src/jayrill/entry/dispatcher_sending.cc
+++ b/src/jayrill/entry/dispatcher_sending.cc
@@ -225,8 +225,9 @@
         [this](const queued_task& task) {
           return jobs_.Find(task.job)->expected_end;
         },
-        [this](const queued_task& task, agent_session& session) {
-          QueueStart(task, session);
+        [this](const queued_task& task, agent_session& session,
+               const task_placer::start_place& place) {
+          QueueStart(task, session, place);
         });
   }
   for (auto& [agent, batch] : std::exchange(outbox_, {})) {
@@ -248,13 +249,38 @@
           team_quotas_.MayStart(team, quota->second.max_running));
 }
 
-void dispatcher::QueueStart(const queued_task& task, agent_session& session) {
+void dispatcher::CountNearStart(const job_record& job,
+                                const task_placer::start_place& place) {
+  near_counters& counters = counters_.near[job.profile];
+  counters.far_starts += place.run_time_factor > 1 ? 1 : 0;
+  if (!place.near_wait) {
+    return;
+  }
+  const near_wait_end& wait = *place.near_wait;
+  ++(wait.has_paid ? counters.waits_paid : counters.waits_unpaid);
+  counters.waited += wait.waited;
+  if (near_wait_log_.Allows(time_.Now())) {
+    LOG(INFO) << "dispatch: waited for a near place profile=" << job.profile
+              << " waited_ms=" << wait.waited.count() / 1000
+              << " near=" << wait.is_near << " paid=" << wait.has_paid
+              << near_wait_log_.TakeLinesLeftOutField();
+  }
+}
+
+void dispatcher::QueueStart(const queued_task& task,
+                            agent_session& session,
+                            const task_placer::start_place& place) {
   job_record& job = *jobs_.Find(task.job);
   task_record& record = job.tasks[task.index];
   const steady_time now = time_.Now();
   record.agent = session.handle();
-  record.number =
-      session.Send({job.id, task.index}, now, task.run_time, task.needs);
+  record.run_time_factor = place.run_time_factor;
+  const auto run_time = std::chrono::duration_cast<std::chrono::microseconds>(
+      task.run_time * place.run_time_factor);
+  record.number = session.Send({job.id, task.index}, now, run_time, task.needs);
+  if (place.run_time_factor > 1 || place.near_wait) {
+    CountNearStart(job, place);
+  }
   if (++record.starts == 1) {
     retry_budget_.OnFirstStart();
     // While minions give starts back, a start does not show that the wait is
@@ -272,7 +298,7 @@
   }
   ++job.outstanding;
   const std::chrono::duration<double, std::micro> expected =
-      task.run_time * session.Slowness(now);
+      run_time * session.Slowness(now);
   job.expected_end =
       std::max(job.expected_end,
                now + std::chrono::duration_cast<steady_duration>(expected));
@@ -300,8 +326,7 @@
   request.attempt = record.starts;
   request.needs = spec.needs;
   request.expected_run = std::chrono::ceil<std::chrono::milliseconds>(expected);
-  request.typical_run =
-      std::chrono::ceil<std::chrono::milliseconds>(task.run_time);
+  request.typical_run = std::chrono::ceil<std::chrono::milliseconds>(run_time);
   request.profile = job.profile;
   request.share_weight = ShareWeight(job.urgency);
   if (!placer_.BindsEarly()) {
--- a/src/jayrill/entry/job_record.h
+++ b/src/jayrill/entry/job_record.h
@@ -12,6 +12,7 @@
 #include "jayrill/entry/agent_hello.h"
 #include "jayrill/job/job_collector.h"
 #include "jayrill/job/job_spec.h"
+#include "jayrill/placement/rack_id.h"
 #include "jayrill/placement/task_queue.h"
 
 namespace jayrill {
@@ -24,6 +25,8 @@
   std::uint32_t returns = 0;   ///< Starts that busy minions gave back.
   std::uint32_t failures = 0;  ///< Runs that have failed.
   std::chrono::microseconds run_time{};  ///< Expected on the average minion.
+  /// Run time of the outstanding start relative to one in the best rack.
+  double run_time_factor = 1;
 };
 
 /// An admitted job, until it is decided and its last start has ended.
@@ -73,7 +76,9 @@
             due,
             tasks[index].failures > 0,
             false,
-            spec.tasks[index].needs};
+            spec.tasks[index].needs,
+            RackId(spec.tasks[index].preferred_rack),
+            spec.same_rack ? static_cast<std::uint32_t>(spec.tasks.size()) : 0};
   }
 };
 
--- a/src/jayrill/entry/task_placer.cc
+++ b/src/jayrill/entry/task_placer.cc
@@ -12,6 +12,10 @@
 /// are used when the queue is long.
 constexpr std::size_t kMaxSkippedTasks = 64;
 
+near_task NearTask(const queued_task& task) {
+  return {task.job, task.index, task.rack, task.group_size, task.arrival};
+}
+
 }  // namespace
 
 void task_placer::PlaceTasks(service_pool& pool,
@@ -35,12 +39,7 @@
       ++next->position;
       continue;
     }
-    const auto slack = std::chrono::duration_cast<std::chrono::microseconds>(
-        expected_end(task) - now);
-    const auto choice =
-        strategy_->Prefer({task.run_time, slack, TimeSinceSkipped(task, now),
-                           task.has_failed, task.needs},
-                          views_);
+    const auto choice = Prefer(task, expected_end(task), now);
     if (!choice) {
       break;
     }
@@ -56,7 +55,10 @@
     }
     next->position = pool.Remove(*next->queue, next->position);
     agent_session& session = *sessions_[choice->index];
-    send_task(task, session);
+    const near_task near = NearTask(task);
+    send_task(task, session,
+              {near_place_.RunTimeFactor(near, session.rack()),
+               near_place_.OnStarted(near, session.rack(), now)});
     views_[choice->index] = session.View(now, kLookahead);
     if (!may_start(*next->team)) {
       next->position = next->queue->end();
@@ -68,6 +70,19 @@
   skipped_since_ = std::move(skipped_since);
 }
 
+std::optional<placement_choice> task_placer::Prefer(const queued_task& task,
+                                                    steady_time expected_end,
+                                                    steady_time now) {
+  const auto slack =
+      std::chrono::duration_cast<std::chrono::microseconds>(expected_end - now);
+  const task_demand demand{task.run_time, slack, TimeSinceSkipped(task, now),
+                           task.has_failed, task.needs};
+  const near_task near = NearTask(task);
+  return near_place_.Concerns(near)
+             ? near_place_.Prefer(near, demand, views_, now, *strategy_)
+             : strategy_->Prefer(demand, views_);
+}
+
 std::chrono::microseconds task_placer::TimeSinceSkipped(const queued_task& task,
                                                         steady_time now) const {
   const auto found = skipped_since_.find(task_key(task.job, task.index));
--- a/src/jayrill/entry/task_placer.h
+++ b/src/jayrill/entry/task_placer.h
@@ -4,12 +4,14 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "jayrill/entry/service_pool.h"
 #include "jayrill/placement/minion_view.h"
+#include "jayrill/placement/near_place.h"
 #include "jayrill/placement/placement_strategy.h"
 
 namespace jayrill {
@@ -27,12 +29,21 @@
   using task_check = std::function<bool(const queued_task& task)>;
   /// \returns when the job of \p task is expected to end.
   using job_end_lookup = std::function<steady_time(const queued_task& task)>;
+  /// What a start owes to the rack of its minion.
+  struct start_place {
+    /// Run time relative to that in the best rack.
+    double run_time_factor = 1;
+    /// Its wait for a minion in that rack; empty: it has not waited.
+    std::optional<near_wait_end> near_wait = std::nullopt;
+  };
   /// Sends \p task to \p session.
-  using start_sender =
-      std::function<void(const queued_task& task, agent_session&)>;
+  using start_sender = std::function<
+      void(const queued_task& task, agent_session&, const start_place& place)>;
 
-  explicit task_placer(std::unique_ptr<placement_strategy> strategy)
-      : strategy_(std::move(strategy)) {}
+  /// \p remote_factor: see near_place.
+  explicit task_placer(std::unique_ptr<placement_strategy> strategy,
+                       double remote_factor = 1)
+      : strategy_(std::move(strategy)), near_place_(remote_factor) {}
 
   /// \returns true when the strategy assigns tasks to minions at once, so that
   /// they wait at the agents and not in the entry's queue.
@@ -63,6 +74,10 @@
   void DeferLate(service_pool& pool, steady_time now);
   bool AnyCanStart() const;
   queue_cursor* NextCursor();
+  /// \returns the choice for \p task among the present views.
+  std::optional<placement_choice> Prefer(const queued_task& task,
+                                         steady_time expected_end,
+                                         steady_time now);
   /// Counts \p task as queued at the minion with the view \p index, for which
   /// it waits.
   void Reserve(std::size_t index, const queued_task& task);
@@ -72,6 +87,7 @@
                                              steady_time now) const;
 
   std::unique_ptr<placement_strategy> strategy_;
+  near_place near_place_;
   using task_key = std::pair<job_id, std::uint32_t>;
 
   /// Since when the tasks that the last pass skipped have waited although a
--- a/src/jayrill/job/job_codec.cc
+++ b/src/jayrill/job/job_codec.cc
@@ -101,13 +101,16 @@
   }
   const QJsonObject object = value.toObject();
   field_reader reader(object, path_prefix);
-  reader.AllowOnly({"kind", "payload", "declared_ms"});
+  reader.AllowOnly({"kind", "payload", "declared_ms", "preferred_rack"});
   task_spec task;
   task.kind = reader.ReadName("kind");
   if (const auto declared = reader.ReadDuration("declared_ms");
       declared.count() > 0) {
     task.declared = declared;
   }
+  if (object.contains(ToQString("preferred_rack"))) {
+    task.preferred_rack = reader.ReadName("preferred_rack");
+  }
   if (reader.failure()) {
     return tl::unexpected<error>(*reader.failure());
   }
@@ -186,13 +189,19 @@
   }
   const QJsonObject object = document.object();
   field_reader reader(object, "");
-  reader.AllowOnly(
-      {"service", "team", "idempotent", "request_key", "deadline_ms", "tasks"});
+  reader.AllowOnly({"service", "team", "idempotent", "request_key",
+                    "deadline_ms", "same_rack", "tasks"});
   job_spec spec;
   spec.service = reader.ReadName("service");
   spec.team = reader.ReadName("team");
   DecodeRequestKey(object, spec, reader);
   spec.deadline = reader.ReadDuration("deadline_ms");
+  const QJsonValue same_rack = object.value(ToQString("same_rack"));
+  spec.same_rack = same_rack.toBool();
+  if (!same_rack.isUndefined() && !same_rack.isBool()) {
+    reader.Fail("field 'same_rack' must be true or false",
+                "leave it out when the tasks may run anywhere");
+  }
   if (reader.failure()) {
     return tl::unexpected<error>(*reader.failure());
   }
--- a/src/jayrill/job/job_spec.h
+++ b/src/jayrill/job/job_spec.h
@@ -22,6 +22,8 @@
   /// Run time that the caller expects; an estimate, not a limit.
   std::optional<std::chrono::milliseconds> declared;
   resource_amount needs{};  ///< Resources that it needs besides one slot.
+  /// Rack in which it runs fastest, for example that of its data; empty: any.
+  std::string preferred_rack;
 
   auto operator<=>(const task_spec&) const = default;
 };
@@ -41,6 +43,8 @@
   /// response may be lost. So a run that ended without a result may be
   /// repeated, and no run may continue after the caller's connection has ended.
   bool repeatable = false;
+  /// The tasks run faster when all of them run in one rack.
+  bool same_rack = false;
   /// Measured from the arrival of the job at the entry; 0 when not set.
   std::chrono::milliseconds deadline{};
   std::vector<task_spec> tasks;
--- a/src/jayrill/load/job_request.cc
+++ b/src/jayrill/load/job_request.cc
@@ -31,6 +31,10 @@
       item.insert(QStringLiteral("declared_ms"),
                   std::max<qint64>(1, WholeMs(task.declared)));
     }
+    if (!task.preferred_rack.empty()) {
+      item.insert(QStringLiteral("preferred_rack"),
+                  ToQString(task.preferred_rack));
+    }
     tasks.append(item);
   }
   QJsonObject body{{QStringLiteral("service"), ToQString(job.service)},
@@ -39,6 +43,9 @@
                    {QStringLiteral("deadline_ms"),
                     static_cast<qint64>(job.deadline.count())},
                    {QStringLiteral("tasks"), tasks}};
+  if (job.same_rack) {
+    body.insert(QStringLiteral("same_rack"), true);
+  }
   if (!request_key.empty()) {
     body.insert(QStringLiteral("request_key"), ToQString(request_key));
   }
--- a/src/jayrill/load/planned_job.h
+++ b/src/jayrill/load/planned_job.h
@@ -13,6 +13,7 @@
   std::string kind;
   std::chrono::microseconds work{};      ///< Run time at slowness 1.
   std::chrono::microseconds declared{};  ///< 0: not declared.
+  std::string preferred_rack = {};       ///< Empty: any.
 
   auto operator<=>(const planned_task&) const = default;
 };
@@ -25,6 +26,7 @@
   bool idempotent = true;
   std::chrono::milliseconds deadline{};
   std::vector<planned_task> tasks;
+  bool same_rack = false;  ///< The tasks run faster in one rack.
 
   auto operator<=>(const planned_job&) const = default;
 };
--- a/src/jayrill/placement.h
+++ b/src/jayrill/placement.h
@@ -8,6 +8,7 @@
 
 #include "jayrill/placement/minion_health.h"
 #include "jayrill/placement/minion_view.h"
+#include "jayrill/placement/near_place.h"
 #include "jayrill/placement/placement_strategy.h"
 #include "jayrill/placement/quota_ledger.h"
 #include "jayrill/placement/retry_budget.h"
--- a/src/jayrill/placement/minion_view.h
+++ b/src/jayrill/placement/minion_view.h
@@ -8,6 +8,7 @@
 
 #include "jayrill/base/clock.h"
 #include "jayrill/job/resource_amount.h"
+#include "jayrill/placement/rack_id.h"
 
 namespace jayrill {
 
@@ -33,6 +34,7 @@
   bool is_trial_due = false;
   resource_amount room{};  ///< Capacity that its tasks share; 0: not limited.
   resource_amount used{};  ///< Estimated use by the starts of all entries.
+  rack_id rack{};          ///< 0: not known.
   double slowness = 1.0;   ///< Run time relative to the average minion.
   /// Last start that this entry sent; default-constructed when there is none.
   steady_time last_start{};
--- a/src/jayrill/placement/task_queue.h
+++ b/src/jayrill/placement/task_queue.h
@@ -12,6 +12,7 @@
 #include "jayrill/base/clock.h"
 #include "jayrill/base/ids.h"
 #include "jayrill/job/resource_amount.h"
+#include "jayrill/placement/rack_id.h"
 
 namespace jayrill {
 
@@ -30,6 +31,9 @@
   bool has_failed = false;  ///< A run of the task has failed.
   bool is_late = false;     ///< The task can no longer end by `due`.
   resource_amount needs{};
+  rack_id rack{};  ///< Where it runs fastest; 0: any, or that of its group.
+  /// Tasks of the job that should run in one rack; 0: they need not.
+  std::uint32_t group_size = 0;
 
   auto operator<=>(const queued_task&) const = default;
 };
