--- a/src/jayrill/job/job_spec.h
+++ b/src/jayrill/job/job_spec.h
@@ -23,7 +23,7 @@
   std::optional<std::chrono::milliseconds> declared;
   resource_amount needs{};  ///< Resources that it needs besides one slot.
   /// Rack in which it runs fastest, for example that of its data; empty: any.
-  std::string preferred_rack;
+  std::string preferred_rack = {};
 
   auto operator<=>(const task_spec&) const = default;
 };
--- a/tests/entry/fake_agent.h
+++ b/tests/entry/fake_agent.h
@@ -174,8 +174,10 @@
     }
   }
 
-  /// Ends the execution of the oldest running task.
-  void Finish(task_outcome outcome) {
+  /// Ends the execution of the oldest running task after \p run_time.
+  void Finish(
+      task_outcome outcome,
+      std::chrono::milliseconds run_time = std::chrono::milliseconds(100)) {
     if (running_.empty()) {
       return;
     }
@@ -188,7 +190,7 @@
     result.number = order.number;
     result.outcome = outcome;
     result.body = AnswerOf(order.job, order.task_index);
-    result.run_time = std::chrono::milliseconds(100);
+    result.run_time = run_time;
     results_.push_back(result);
   }
 
--- a/tests/entry/fake_cluster.h
+++ b/tests/entry/fake_cluster.h
@@ -24,11 +24,13 @@
     bool was_sent = false;  ///< A start of the job was sent before.
   };
 
-  explicit fake_cluster(const std::string& strategy = "jayrill")
+  explicit fake_cluster(const std::string& strategy = "jayrill",
+                        const dispatch_limits& limits = {})
       : entry("dc1",
               *MakePlacementStrategy(strategy, random_source(1)),
               time,
-              *this) {}
+              *this,
+              limits) {}
 
   fake_agent& AddAgent(const std::string& data_centre) {
     return agents.emplace_back("agent-" + std::to_string(agents.size()),
--- a/tests/platform/platform_format_test.cc
+++ b/tests/platform/platform_format_test.cc
@@ -253,10 +253,80 @@
   EXPECT_EQ(heartbeat->life, 1787822405666U);
   EXPECT_EQ(heartbeat->host, "10.0.0.9");
   EXPECT_EQ(heartbeat->port, 8080);
+  EXPECT_EQ(heartbeat->rack, "r1");
   EXPECT_EQ(heartbeat->room, (resource_amount{16000, 32768, 1, true}));
   EXPECT_FALSE(heartbeat->draining);
 }
 
+struct place_case {
+  std::string name;
+  std::string field;  ///< Of the phase.
+  std::string rack;
+  bool same_rack;
+  std::string code;  ///< Of the refusal; empty: the job is taken.
+};
+
+class place_test : public testing::TestWithParam<place_case> {};
+
+// Guards against jobs that are refused for the rack of their data or for their
+// group, and against a place that is lost on the way to placement.
+TEST_P(place_test, ReadsRackAndGroup) {
+  const auto spec = queue_format().Decode(
+      Request(
+          "/p/5c0e7a21d94b36f8",
+          R"({"spec":"x","best_effort":true,"phases":[{"count":2,"cpu":500)" +
+              GetParam().field + "}]}"),
+      TestConfig());
+  EXPECT_EQ(spec ? "" : spec.error().code, GetParam().code);
+  if (spec) {
+    EXPECT_EQ(spec->tasks.at(1).preferred_rack, GetParam().rack);
+    EXPECT_EQ(spec->same_rack, GetParam().same_rack);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    fields,
+    place_test,
+    testing::Values(place_case{"none", "", "", false, ""},
+                    place_case{"rack", R"(,"affinity":"r1-3")", "r1-3", false,
+                               ""},
+                    place_case{"group", R"(,"same_rack":true)", "", true, ""},
+                    place_case{"rack_of_another_type", R"(,"affinity":3)", "",
+                               false, "invalid_request"},
+                    place_case{"group_of_another_type", R"(,"same_rack":"yes")",
+                               "", false, "invalid_request"}),
+    [](const auto& item) { return item.param.name; });
+
+struct label_case {
+  std::string name;
+  std::string labels;
+  std::string rack;
+};
+
+class label_test : public testing::TestWithParam<label_case> {};
+
+// Guards against a kind of machine that is taken for a rack, and against a
+// heartbeat that is refused for its labels.
+TEST_P(label_test, ReadsTheRack) {
+  std::string text = kHeartbeat;
+  const std::string labels = R"("labels":["a","r1"])";
+  text.replace(text.find(labels), labels.size(), GetParam().labels);
+  const auto heartbeat = ParseHeartbeat("i-1", text, kNow);
+  ASSERT_TRUE(heartbeat) << heartbeat.error().message;
+  EXPECT_EQ(heartbeat->rack, GetParam().rack);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    labels,
+    label_test,
+    testing::Values(label_case{"two", R"("labels":["a","r1-3"])", "r1-3"},
+                    label_case{"rack_first", R"("labels":["r2-1","a"])",
+                               "r2-1"},
+                    label_case{"kind_like_a_rack", R"("labels":["rx"])", ""},
+                    label_case{"other_types", R"("labels":[1,null])", ""},
+                    label_case{"no_list", R"("labels":7)", ""}),
+    [](const auto& item) { return item.param.name; });
+
 struct bad_heartbeat {
   std::string name;
   std::string from;
--- a/tests/support/minion_standin.h
+++ b/tests/support/minion_standin.h
@@ -68,6 +68,9 @@
   /// it would have been in time.
   bool leases_from_arrival = false;
   std::size_t ends_per_report = 500;
+  /// A renewal without an answer times out after its wait and kAnswerTimeout,
+  /// as with the calls of the platform, and not after kAnswerTimeout.
+  bool times_out_after_wait = false;
 
   auto operator<=>(const minion_faults&) const = default;
 };
@@ -178,8 +181,7 @@
         }
         ApplyRenewal(late);
       });
-      timers_.After(kAnswerTimeout + request.wait,
-                    [done] { done(NoAnswer()); });
+      timers_.After(RenewalTimeout(request), [done] { done(NoAnswer()); });
       return;
     }
     if (random_.Below(100) < faults_.renewal_errors) {
@@ -191,8 +193,7 @@
     }
     if (random_.Below(100) < faults_.lost_answers) {
       timers_.After(kRoundTrip, [this, request] { ApplyRenewal(request); });
-      timers_.After(kAnswerTimeout + request.wait,
-                    [done] { done(NoAnswer()); });
+      timers_.After(RenewalTimeout(request), [done] { done(NoAnswer()); });
       return;
     }
     timers_.After(kRoundTrip, [this, request, done, target = target_] {
@@ -228,6 +229,12 @@
     return MakeError(error_kind::kUnknownOutcome, "no answer", "ask again");
   }
 
+  std::chrono::milliseconds RenewalTimeout(const renewal& request) const {
+    return kAnswerTimeout + (faults_.times_out_after_wait
+                                 ? request.wait
+                                 : std::chrono::milliseconds(0));
+  }
+
   minion_time Clock() const {
     return std::chrono::duration_cast<minion_time>((time_.Now() - started_at_) *
                                                    kClockRate);
--- a/tests/unit/http/job_codec_test.cc
+++ b/tests/unit/http/job_codec_test.cc
@@ -115,9 +115,21 @@
         bad_job{"task_field", Job("", R"([{"kind":"k","x":1}])"),
                 "'tasks[0].x'"},
         bad_job{"declared", Job("", R"([{"kind":"k","declared_ms":-1}])"),
-                "'tasks[0].declared_ms'"}),
+                "'tasks[0].declared_ms'"},
+        bad_job{"rack", Job("", R"([{"kind":"k","preferred_rack":1}])"),
+                "'tasks[0].preferred_rack'"},
+        bad_job{"same_rack", Job(R"(,"same_rack":1)", kTask), "'same_rack'"}),
     [](const auto& test) { return test.param.name; });
 
+// Guards against a job whose tasks lose their rack.
+TEST(job_codec_test, ReadsWhereTasksRunFastest) {
+  const auto spec = DecodeJob(
+      Job(R"(,"same_rack":true)", R"([{"kind":"k","preferred_rack":"r1-3"}])"));
+  ASSERT_TRUE(spec.has_value()) << spec.error().message;
+  EXPECT_TRUE(spec->same_rack);
+  EXPECT_EQ(spec->tasks[0].preferred_rack, "r1-3");
+}
+
 // Guards against a response that is not valid JSON, and against results or
 // texts that are not escaped and change its structure.
 TEST(job_codec_test, EncodesAnswersInTaskOrder) {
--- a/tests/unit/lost_answers_test.cc
+++ b/tests/unit/lost_answers_test.cc
@@ -106,10 +106,15 @@
 INSTANTIATE_TEST_SUITE_P(
     losses,
     loss_test,
-    testing::Values(loss_case{"reports", {.late_renewals = 7}, 0.9},
+    testing::Values(loss_case{"reports",
+                              {.late_renewals = 7,
+                               .times_out_after_wait = true},
+                              0.9},
                     loss_case{"orders", {.late_orders = 7}, 0.9},
                     loss_case{"orders_and_reports",
-                              {.late_orders = 7, .late_renewals = 7},
+                              {.late_orders = 7,
+                               .late_renewals = 7,
+                               .times_out_after_wait = true},
                               0.8}),
     [](const auto& item) { return item.param.name; });
 
