--- a/src/jayrill/agent/room_share.cc
+++ b/src/jayrill/agent/room_share.cc
@@ -80,7 +80,7 @@
 
 run_charge room_share::OnRunStarted(const start_request& start,
                                     steady_time now) {
-  const run_charge charge{QueueOf(start), CpuMillis(start), start.expected_run};
+  run_charge charge{QueueOf(start), CpuMillis(start), start.expected_run};
   queue_state& queue = Update(charge.queue, now);
   ++queue.running;
   queue.charge += CoreSeconds(charge.cpu_millis, charge.expected_run);
--- a/src/jayrill/placement/near_place.cc
+++ b/src/jayrill/placement/near_place.cc
@@ -60,8 +60,9 @@
   // Each place is free again after a run.
   const std::size_t last = size - 1;
   const std::size_t places = offer.free_at_micros.size();
-  const auto rounds = static_cast<double>(last / places);
-  return offer.free_at_micros[last % places] + (rounds + 1) * offer.most_micros;
+  const std::size_t runs = last / places + 1;
+  return offer.free_at_micros[last % places] +
+         static_cast<double>(runs) * offer.most_micros;
 }
 
 }  // namespace
--- a/tests/entry/start_up_test.cc
+++ b/tests/entry/start_up_test.cc
@@ -66,8 +66,10 @@
 TEST(start_up_test, WorkBeyondTheObjectiveIsRefusedAtOnce) {
   starting_cluster cluster;
   cluster.ConnectAgent();
+  constexpr int kJobs = 40;
   std::vector<job_id> jobs;
-  for (int i = 0; i < 40; ++i) {
+  jobs.reserve(kJobs);
+  for (int i = 0; i < kJobs; ++i) {
     jobs.push_back(cluster.SubmitTo("urgent", 4));
   }
   const auto refused = std::count_if(jobs.begin(), jobs.end(), [&](job_id job) {
