--- a/src/jayrill/agent/report_requests.h
+++ b/src/jayrill/agent/report_requests.h
@@ -63,8 +63,8 @@
   /// present state.
   static constexpr std::size_t kMaxInFlight = 2;
 
-  /// Most requests in flight while answers are lost. With one answer in fifteen
-  /// lost, all of them are lost once in 50,000 times.
+  /// Most requests in flight while answers are lost. With one answer in ten
+  /// lost, all of them are lost once in 10,000 times.
   static constexpr std::size_t kMaxOverlapping = 4;
 
   std::map<std::uint64_t, steady_time> in_flight_;  ///< Times sent, by serial.
--- a/src/jayrill/entry/task_placer.h
+++ b/src/jayrill/entry/task_placer.h
@@ -29,7 +29,7 @@
   using task_check = std::function<bool(const queued_task& task)>;
   /// \returns when the job of \p task is expected to end.
   using job_end_lookup = std::function<steady_time(const queued_task& task)>;
-  /// What a start owes to the rack of its minion.
+  /// How the rack of its minion affects a start.
   struct start_place {
     /// Run time relative to that in the best rack.
     double run_time_factor = 1;
--- a/src/jayrill/placement/near_place.cc
+++ b/src/jayrill/placement/near_place.cc
@@ -68,7 +68,7 @@
 }  // namespace
 
 std::optional<placement_choice> near_place::PreferAmong(
-    bool wanted,
+    bool in_rack,
     rack_id rack,
     const task_demand& demand,
     std::span<const minion_view> minions,
@@ -76,7 +76,7 @@
   views_.clear();
   indices_.clear();
   for (std::size_t i = 0; i < minions.size(); ++i) {
-    if ((minions[i].rack == rack) == wanted) {
+    if ((minions[i].rack == rack) == in_rack) {
       views_.push_back(minions[i]);
       indices_.push_back(i);
     }
--- a/src/jayrill/placement/near_place.h
+++ b/src/jayrill/placement/near_place.h
@@ -113,10 +113,10 @@
                          const task_demand& demand,
                          std::span<const minion_view> minions,
                          steady_time now);
-  /// \returns the choice of \p strategy among the minions for which \p is_near
-  /// is \p wanted, as an index in all of \p minions.
+  /// \returns the choice of \p strategy among the minions in \p rack, or among
+  /// those outside it, as an index in all of \p minions.
   std::optional<placement_choice> PreferAmong(
-      bool wanted,
+      bool in_rack,
       rack_id rack,
       const task_demand& demand,
       std::span<const minion_view> minions,
