--- a/review/fleet-3/evacuation.cpp
+++ b/review/fleet-3/evacuation.cpp
@@ -1,5 +1,5 @@
-// Two entries and four agents in two zones. The store rejects the entries for
-// nine seconds and serves the agents and the operator, who evacuates a zone.
+// One entry and three agents in two zones. The store rejects the entry for nine
+// seconds and serves the agents and the operator, who evacuates a zone.
 #include "fleet.hpp"
 
 using namespace fleet;
@@ -24,16 +24,15 @@
   };
   platform.Put("op/config", ToBase64(Config(7, {"desk"})));
   deployment fleet(Folder(), platform);
-  const entry_ports ports[2];
-  const auto first = fleet.StartEntry("edge-a", "zone-a", ports[0]);
-  const auto second = fleet.StartEntry("edge-b", "zone-b", ports[1]);
-  const char* const zones[] = {"zone-a", "zone-a", "zone-a", "zone-b"};
+  const entry_ports ports;
+  const auto entry = fleet.StartEntry("edge-a", "zone-a", ports);
+  const char* const zones[] = {"zone-a", "zone-a", "zone-b"};
   std::vector<std::unique_ptr<process>> agents;
   std::vector<std::unique_ptr<minion>> minions;
-  for (int i = 0; i < 4; ++i) {
+  for (int i = 0; i < 3; ++i) {
     const int announce = FreePort();
     agents.push_back(fleet.StartAgent("side-" + std::to_string(i), zones[i],
-                                      announce, {ports[0].rpc, ports[1].rpc}));
+                                      announce, {ports.rpc}));
     minion_options options;
     options.id = "i-" + std::to_string(i);
     options.service = "desk";
@@ -41,9 +40,8 @@
     options.agent_port = announce;
     minions.push_back(std::make_unique<minion>(options));
   }
-  if (!WaitReady(ports[0].health, 15000) ||
-      !WaitReady(ports[1].health, 15000)) {
-    Log("the entries are not ready");
+  if (!WaitReady(ports.health, 15000)) {
+    Log("the entry is not ready");
     End(2);
   }
   Sleep(4000);
@@ -52,22 +50,21 @@
   std::atomic<int> next{0};
   std::atomic<int> served{0};
   for (int i = 0; i < 4; ++i) {
-    clients.emplace_back([&, i] {
+    clients.emplace_back([&] {
       while (serving) {
         const std::string id = JobId(++next);
-        const reply answer = Call(
-            ports[i % 2].http, "POST", "/q-desk/" + id, ClientHeaders(1500),
-            JobBody("work=100 cpu=1600", 4, 1600, 100), 1500);
+        const reply answer =
+            Call(ports.http, "POST", "/q-desk/" + id, ClientHeaders(1500),
+                 JobBody("work=100 cpu=1600", 4, 1600, 100), 1500);
         served += answer.status == 200 ? 1 : 0;
         Log("client: job " + id + " is answered " +
-            std::to_string(answer.status) + " by entry " +
-            std::to_string(i % 2));
+            std::to_string(answer.status));
         Sleep(60);
       }
     });
   }
   Sleep(3000);
-  Log("the store begins to reject the entries");
+  Log("the store begins to reject the entry");
   rejecting = HasTrouble();
   const long rejected_at = Now();
   Sleep(1000);
@@ -76,7 +73,7 @@
   Sleep(rejected_at + kRejectedMs - Now());
   const long healed = Now();
   rejecting = false;
-  Log("the store serves the entries again");
+  Log("the store serves the entry again");
   Sleep(1500);
   serving = false;
   for (std::thread& client : clients) {
@@ -86,7 +83,7 @@
   // so each of them is in touch.
   int late = 0;
   int before = 0;
-  for (const minion::start& one : minions[3]->starts()) {
+  for (const minion::start& one : minions[2]->starts()) {
     before += one.at <= acknowledged ? 1 : 0;
     late += one.at > acknowledged + kEvacuateMs ? 1 : 0;
   }
