--- a/review/fleet-3/fleet.hpp
+++ b/review/fleet-3/fleet.hpp
@@ -1141,13 +1141,23 @@
     return all;
   }
 
+  /// While true, nobody reads what the processes write to standard output.
+  static std::atomic<bool>& LogReaderStands() {
+    static std::atomic<bool> stands{false};
+    return stands;
+  }
+
   void Start() {
+    int ends[2];
+    if (pipe2(ends, O_CLOEXEC) != 0) {
+      std::perror("pipe");
+      std::exit(2);
+    }
     pid_ = fork();
     if (pid_ == 0) {
       prctl(PR_SET_PDEATHSIG, SIGKILL);
-      const int out = open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-      dup2(out, 1);
-      dup2(out, 2);
+      dup2(ends[1], 1);
+      dup2(ends[1], 2);
       clearenv();
       for (const auto& [key, value] : environment_) {
         setenv(key.c_str(), value.c_str(), 1);
@@ -1160,6 +1170,8 @@
       execv(words[0], words.data());
       _exit(127);
     }
+    close(ends[1]);
+    std::thread([from = ends[0], to = log_] { CollectLog(from, to); }).detach();
     Log("process " + name_ + " is started");
   }
   void Signal(int number) {
@@ -1193,6 +1205,23 @@
   pid_t pid() const { return pid_; }
 
  private:
+  /// Reads the log of one process, as the platform's collector does.
+  static void CollectLog(int from, const std::string& to) {
+    std::ofstream file(to, std::ios::app);
+    char chunk[4096];
+    for (;;) {
+      while (LogReaderStands()) {
+        Sleep(10);
+      }
+      const ssize_t size = read(from, chunk, sizeof(chunk));
+      if (size <= 0) {
+        break;
+      }
+      file.write(chunk, size) << std::flush;
+    }
+    close(from);
+  }
+
   std::string name_;
   std::vector<std::string> command_;
   std::map<std::string, std::string> environment_;
