--- a/src/jayrill/agent/agent_core.cc
+++ b/src/jayrill/agent/agent_core.cc
@@ -83,18 +83,31 @@
     return;
   }
   config_ = offered;
-  data_centre_out_ = decoded->IsOut(settings_.data_centre);
   routed_services_.clear();
   for (const auto& [name, route] : decoded->routes) {
     routed_services_.insert(route.service);
   }
-  LOG(INFO) << "config: adopted revision=" << config_.revision.value
-            << " data_centre_out=" << data_centre_out_;
-  if (data_centre_out_) {
+  LOG(INFO) << "config: adopted revision=" << config_.revision.value;
+  OfferOutList(OutListOf(*decoded));
+  host_.StatusChanged();
+}
+
+bool agent_core::OfferOutList(out_list list,
+                              std::optional<steady_time> confirmed) {
+  if (!out_list_.Offer(std::move(list), confirmed)) {
+    return false;
+  }
+  const bool is_out = out_list_.IsOut(settings_.data_centre);
+  LOG(INFO) << "config: data centres out="
+            << out_list_.list().data_centres.size()
+            << " revision=" << out_list_.list().revision.value
+            << " data_centre_out=" << is_out;
+  if (is_out) {
     RefuseAllWaiting(
         {not_run_reason::kDataCentreOut, "the data centre is out"});
   }
   host_.StatusChanged();
+  return true;
 }
 
 void agent_core::OnResult(std::uint64_t call, task_result outcome) {
--- a/src/jayrill/agent/agent_core.h
+++ b/src/jayrill/agent/agent_core.h
@@ -25,6 +25,7 @@
 #include "jayrill/base/clock.h"
 #include "jayrill/base/log_limit.h"
 #include "jayrill/config/cluster_config.h"
+#include "jayrill/config/known_out_list.h"
 #include "jayrill/job/task_result.h"
 #include "jayrill/session/pause_detector.h"
 
@@ -87,6 +88,12 @@
   /// current one.
   void OfferConfig(const config_copy& offered);
 
+  /// Adopts the data centres that are out if \p list is newer, whoever has sent
+  /// it. \p confirmed: the store held \p list then or later.
+  /// \returns true when other data centres are out than before.
+  bool OfferOutList(out_list list,
+                    std::optional<steady_time> confirmed = std::nullopt);
+
   /// Begins a connection to \p entry and fences the starts of earlier ones.
   /// \returns the session state to send in the hello.
   entry_session::opening Connect(incarnation entry);
@@ -174,6 +181,7 @@
   /// stayed silent for agent_settings::silence_timeout.
   bool HasGuardedRuns(incarnation entry) const;
   const config_copy& config() const { return config_; }
+  const known_out_list& data_centres_out() const { return out_list_; }
   agent_counters& counters() { return counters_; }
   const std::map<std::string, queue_usage>& queue_usages() const {
     return shares_.usage();
@@ -261,7 +269,7 @@
   minion_departure departure_;
   bool stopping_ = false;
   config_copy config_;
-  bool data_centre_out_ = false;
+  known_out_list out_list_;
   /// Services that the routes of the configuration name.
   std::set<std::string> routed_services_;
   std::chrono::milliseconds heartbeat_{1000};
--- a/src/jayrill/agent/agent_core_starts.cc
+++ b/src/jayrill/agent/agent_core_starts.cc
@@ -92,7 +92,7 @@
 std::optional<agent_core::refusal> agent_core::FindRefusal(
     const start_request& order,
     steady_time deadline) const {
-  if (data_centre_out_) {
+  if (out_list_.IsOut(settings_.data_centre)) {
     return refusal{not_run_reason::kDataCentreOut, "the data centre is out"};
   }
   if (stopping_) {
--- a/src/jayrill/agent/agent_counters.h
+++ b/src/jayrill/agent/agent_counters.h
@@ -34,6 +34,10 @@
   std::uint64_t lost_sessions = 0;
   std::uint64_t reports = 0;
   std::uint64_t connects = 0;  ///< Sessions opened or resumed.
+  /// Reads of the data centres that are out, made because no entry has
+  /// confirmed them, and those without an answer.
+  std::uint64_t out_list_reads = 0;
+  std::uint64_t failed_out_list_reads = 0;
 
   auto operator<=>(const agent_counters&) const = default;
 };
--- a/src/jayrill/agent/agent_process.cc
+++ b/src/jayrill/agent/agent_process.cc
@@ -15,6 +15,7 @@
     : settings_(std::move(settings)),
       time_(time),
       departure_(settings_.announce_ttl),
+      out_lists_(overrides.out_lists),
       metrics_text_([this] {
         return agent::internal::ToText(view(), minion_port_->lost_calls());
       }),
@@ -62,15 +63,20 @@
 }
 
 void agent_process::RunLoop() {
-  agent_loop loop(
-      settings_, time_, inbox_,
-      [this](task_call call) {
-        PostToQt([this, call = std::move(call)] { minion_port_->Run(call); });
-      },
-      [this](std::uint64_t call) {
-        PostToQt([this, call] { minion_port_->Stop(call); });
-      },
-      [this](const agent_view& current) { OnView(current); });
+  agent_loop::output sinks;
+  sinks.on_call = [this](task_call call) {
+    PostToQt([this, call = std::move(call)] { minion_port_->Run(call); });
+  };
+  sinks.on_stop_call = [this](std::uint64_t call) {
+    PostToQt([this, call] { minion_port_->Stop(call); });
+  };
+  sinks.on_view = [this](const agent_view& current) { OnView(current); };
+  if (out_lists_ != nullptr) {
+    sinks.read_out_list = [this](std::chrono::milliseconds limit) {
+      ReadOutList(limit);
+    };
+  }
+  agent_loop loop(settings_, time_, inbox_, std::move(sinks));
   loop_ = &loop;
   loop.Run();
   loop_ = nullptr;
@@ -92,6 +98,14 @@
   view_ = current;
 }
 
+void agent_process::ReadOutList(std::chrono::milliseconds limit) {
+  PostToQt([this, limit] {
+    out_lists_->Read(limit, guard_.Wrap([this](const result<out_list>& read) {
+      PostToLoop([read](agent_loop& loop) { loop.OnOutListRead(read); });
+    }));
+  });
+}
+
 void agent_process::PostToLoop(std::function<void(agent_loop&)> work) {
   inbox_.Post([this, work = std::move(work)] { work(*loop_); });
 }
--- a/src/jayrill/agent/agent_process.h
+++ b/src/jayrill/agent/agent_process.h
@@ -20,6 +20,7 @@
 #include "jayrill/agent/minion_client.h"
 #include "jayrill/agent/minion_departure.h"
 #include "jayrill/agent/minion_port.h"
+#include "jayrill/agent/out_list_refresh.h"
 #include "jayrill/agent/room_share.h"
 #include "jayrill/base/clock.h"
 #include "jayrill/base/error.h"
@@ -57,6 +58,9 @@
   entry_directory* directory = nullptr;
   /// Needed with a directory; runs on the Qt thread.
   scheduler* timers = nullptr;
+  /// Reads the data centres that are out while no entry confirms them; null:
+  /// they can't be read. Used on the Qt thread.
+  out_list_reader* out_lists = nullptr;
 };
 
 /// Runs an agent: the HTTP side (announce API and calls of the minion) and the
@@ -110,6 +114,8 @@
   /// Keeps \p current for view() and tells the search of entries how many are
   /// connected. Called on the kj thread.
   void OnView(const agent_view& current);
+  /// Reads the data centres that are out for the kj thread, which calls this.
+  void ReadOutList(std::chrono::milliseconds limit);
   void PostToLoop(std::function<void(agent_loop&)> work);
   void PostToQt(std::function<void()> work);
   minion_port::listener MinionListener();
@@ -124,6 +130,7 @@
   const agent_settings settings_;
   const clock& time_;
   minion_departure departure_;
+  out_list_reader* const out_lists_;  ///< May be null.
   std::function<void()> on_stopped_;
   std::function<std::string()> metrics_text_;
   work_queue inbox_;            // Work for the kj thread.
@@ -137,6 +144,7 @@
   announce_api api_;
   std::optional<entry_search> entry_search_;
   std::thread thread_;
+  callback_guard guard_;
   // Context of the calls that PostToQt queues. Destroyed first, so that no
   // queued call runs on destroyed members.
   QObject qt_context_;
--- a/src/jayrill/agent/entry_link.cc
+++ b/src/jayrill/agent/entry_link.cc
@@ -155,6 +155,8 @@
   hello_sent_at_ = context_.time.Now();
   hello.setSentMicros(EncodeClock(hello_sent_at_));
   entry_revision_ = context_.core.config().revision;
+  entry_out_list_ = context_.core.data_centres_out().list();
+  Encode({entry_out_list_, std::nullopt}, hello.initOutList());
 }
 
 void entry_link::OnWelcome(wire::EntryWelcome::Reader welcome) {
@@ -175,6 +177,7 @@
   entry_revision_ = std::max(
       entry_revision_, config_revision{welcome.getConfig().getRevision()});
   context_.core.OfferConfig(DecodeConfig(welcome.getConfig()));
+  OnOutList(Decode(welcome.getOutList()), hello_sent_at_);
   context_.core.Welcome(entry_, welcome.getResumed(),
                         session_number{welcome.getSession()});
   handshake_done_ = true;
@@ -291,9 +294,29 @@
 }
 
 void entry_link::OnHeartbeat(std::uint64_t serial,
-                             capnp::List<wire::EntryEndpoint>::Reader entries) {
+                             capnp::List<wire::EntryEndpoint>::Reader entries,
+                             wire::OutList::Reader list) {
   if (OnMessage(serial)) {
     SetListedEntries(entries);
+    OnOutList(Decode(list), std::nullopt);
+  }
+}
+
+void entry_link::OnOutList(const aged_out_list& aged,
+                           std::optional<steady_time> asked) {
+  if (aged.list.revision >= entry_out_list_.revision) {
+    entry_out_list_ = aged.list;
+  }
+  std::optional<steady_time> confirmed;
+  if (asked && aged.age) {
+    confirmed = *asked - *aged.age;
+  }
+  context_.core.OfferOutList(aged.list, confirmed);
+}
+
+void entry_link::OnOutListChanged() {
+  if (ShouldSendOutList()) {
+    ScheduleReport();
   }
 }
 
--- a/src/jayrill/agent/entry_link.h
+++ b/src/jayrill/agent/entry_link.h
@@ -14,6 +14,8 @@
 #include "jayrill/agent/backoff.h"
 #include "jayrill/agent/report_schedule.h"
 #include "jayrill/base/random_source.h"
+#include "jayrill/config/out_list.h"
+#include "jayrill/rpc/codec.h"
 #include "jayrill/rpc/dispatch.capnp.h"
 #include "jayrill/rpc/entry_endpoint.h"
 
@@ -82,6 +84,10 @@
     return listed_entries_;
   }
 
+  /// Reports at once when the agent has learnt of other data centres that are
+  /// out than the entry knows of.
+  void OnOutListChanged();
+
   /// Tells the entry to send no further starts, because the agent is about to
   /// close this link, or takes that back.
   void SetRetiring(bool retiring);
@@ -101,7 +107,8 @@
   config_revision OnConfigure(std::uint64_t serial,
                               wire::Config::Reader config);
   void OnHeartbeat(std::uint64_t serial,
-                   capnp::List<wire::EntryEndpoint>::Reader entries);
+                   capnp::List<wire::EntryEndpoint>::Reader entries,
+                   wire::OutList::Reader list);
 
  private:
   kj::Promise<void> ConnectLoop();
@@ -113,13 +120,20 @@
   void Close();
   void SendReport();
   bool ShouldSendConfig(bool heartbeat) const;
+  /// \returns true when the agent knows a newer list of the data centres that
+  /// are out than the entry, with other ones.
+  bool ShouldSendOutList() const;
+  /// Takes over a list that the entry has sent. \p asked: the entry made it
+  /// then or later; nothing when that is not known.
+  void OnOutList(const aged_out_list& aged, std::optional<steady_time> asked);
   void OnAcknowledged(std::uint64_t serial,
                       const std::vector<start_number>& numbers,
                       steady_time sent,
                       bool told_retirement,
                       std::chrono::milliseconds callers_lag,
                       std::chrono::milliseconds heartbeat,
-                      std::chrono::milliseconds status_interval);
+                      std::chrono::milliseconds status_interval,
+                      const aged_out_list& list);
   /// Sends the answers to start calls and the ends of report calls that were
   /// kept back for the next report.
   void ReleaseHeldMessages();
@@ -152,6 +166,7 @@
   connection_epoch epoch_;
   steady_time hello_sent_at_;
   config_revision entry_revision_;  // Last that the entry sent or was sent.
+  out_list entry_out_list_;         // The same.
   std::vector<entry_endpoint> listed_entries_;
   // Batches, and numbers of cancelled starts, that arrived before the response
   // to connect.
--- a/src/jayrill/agent/entry_link_reports.cc
+++ b/src/jayrill/agent/entry_link_reports.cc
@@ -66,6 +66,12 @@
          (config_due_ || heartbeat);
 }
 
+bool entry_link::ShouldSendOutList() const {
+  const out_list& known = context_.core.data_centres_out().list();
+  return known.revision > entry_out_list_.revision &&
+         known.data_centres != entry_out_list_.data_centres;
+}
+
 void entry_link::SendReport() {
   if (!handshake_done_ || dropping_ ||
       reports_in_flight_ >= kMaxReportsInFlight) {
@@ -91,6 +97,10 @@
     entry_revision_ = context_.core.config().revision;
     config_due_ = false;
   }
+  if (ShouldSendOutList()) {
+    entry_out_list_ = context_.core.data_centres_out().list();
+    Encode({entry_out_list_, std::nullopt}, report.initOutList());
+  }
   schedule_.OnReport(now, status);
   ++reports_in_flight_;
   ++context_.core.counters().reports;
@@ -101,7 +111,8 @@
         OnAcknowledged(serial, numbers, sent, told_retirement,
                        std::chrono::milliseconds(response.getCallersLagMs()),
                        std::chrono::milliseconds(response.getHeartbeatMs()),
-                       std::chrono::milliseconds(response.getStatusMs()));
+                       std::chrono::milliseconds(response.getStatusMs()),
+                       Decode(response.getOutList()));
         if (IsCurrent(serial)) {
           held_responses_.add(kj::mv(response));
         }
@@ -118,11 +129,13 @@
                                 bool told_retirement,
                                 std::chrono::milliseconds callers_lag,
                                 std::chrono::milliseconds heartbeat,
-                                std::chrono::milliseconds status_interval) {
+                                std::chrono::milliseconds status_interval,
+                                const aged_out_list& list) {
   if (!OnMessage(serial)) {
     return;
   }
   context_.core.OnReportAnswered(entry_, sent, callers_lag);
+  OnOutList(list, sent);
   schedule_.SetWantedStatusInterval(status_interval);
   schedule_.SetHeartbeat(heartbeat);
   context_.core.SetHeartbeat(schedule_.heartbeat());
--- a/src/jayrill/agent/internal/agent_loop.cc
+++ b/src/jayrill/agent/internal/agent_loop.cc
@@ -23,21 +23,18 @@
 agent_loop::agent_loop(const agent_settings& settings,
                        const clock& time,
                        work_queue& inbox,
-                       call_sink on_call,
-                       stop_sink on_stop_call,
-                       view_sink on_view)
+                       output sinks)
     : settings_(settings),
       time_(time),
       inbox_(inbox),
-      on_call_(std::move(on_call)),
-      on_stop_call_(std::move(on_stop_call)),
-      on_view_(std::move(on_view)),
+      output_(std::move(sinks)),
       random_(random_source::FromSystem()),
       io_(kj::setupAsyncIo()),
       inbox_observer_(io_.unixEventPort,
                       inbox.event_fd(),
                       kj::UnixEventPort::FdObserver::OBSERVE_READ),
       core_(settings, time, *this),
+      out_list_refresh_(time, random_source(random_())),
       link_context_{
           settings, time,  incarnation{random_()},          *io_.provider,
           random_,  core_, [this] { ScheduleLinkUpdate(); }},
@@ -72,12 +69,13 @@
       link->Tick();
     }
     CloseRetiredLinks();
+    RefreshOutList();
     if (connected_links() != links_at_last_tick_) {
       links_at_last_tick_ = connected_links();
       ScheduleLinkUpdate();
     }
-    on_view_({core_.counters(), core_.Status(), connected_links(), 0,
-              core_.queue_usages()});
+    output_.on_view({core_.counters(), core_.Status(), connected_links(), 0,
+                     core_.queue_usages()});
     if (stop_started_at_) {
       FinishStop();
     }
@@ -85,6 +83,33 @@
   });
 }
 
+void agent_loop::RefreshOutList() {
+  if (!output_.read_out_list) {
+    return;
+  }
+  const auto limit =
+      out_list_refresh_.Tick(core_.data_centres_out().confirmed());
+  if (limit) {
+    ++core_.counters().out_list_reads;
+    output_.read_out_list(*limit);
+  }
+}
+
+void agent_loop::OnOutListRead(const result<out_list>& read) {
+  const steady_time began = out_list_refresh_.OnReadEnded(read.has_value());
+  if (!read) {
+    ++core_.counters().failed_out_list_reads;
+    VLOG(1) << "config: cannot read the data centres that are out: "
+            << ToString(read.error());
+    return;
+  }
+  if (core_.OfferOutList(*read, began)) {
+    for (const auto& [address, link] : links_) {
+      link->OnOutListChanged();
+    }
+  }
+}
+
 void agent_loop::ResultReady(incarnation entry) {
   for (const auto& [address, link] : links_) {
     if (link->connected() && link->entry() == entry) {
--- a/src/jayrill/agent/internal/agent_loop.h
+++ b/src/jayrill/agent/internal/agent_loop.h
@@ -13,6 +13,7 @@
 #include "jayrill/agent/agent_core.h"
 #include "jayrill/agent/agent_process.h"
 #include "jayrill/agent/entry_link.h"
+#include "jayrill/agent/out_list_refresh.h"
 #include "jayrill/base/work_queue.h"
 
 namespace jayrill::agent::internal {
@@ -31,13 +32,21 @@
   using stop_sink = std::function<void(std::uint64_t)>;
   /// Receives the state of the agent at each tick, on the kj thread.
   using view_sink = std::function<void(const agent_view&)>;
+  /// Reads the data centres that are out within the limit; OnOutListRead must
+  /// follow. Called on the kj thread.
+  using out_list_source = std::function<void(std::chrono::milliseconds)>;
+
+  struct output {
+    call_sink on_call;
+    stop_sink on_stop_call;
+    view_sink on_view;
+    out_list_source read_out_list;  ///< Empty: the store can't be read.
+  };
 
   agent_loop(const agent_settings& settings,
              const clock& time,
              work_queue& inbox,
-             call_sink on_call,
-             stop_sink on_stop_call,
-             view_sink on_view);
+             output sinks);
   ~agent_loop() noexcept override;
 
   /// Runs until the graceful stop has finished or StopNow is called.
@@ -53,12 +62,15 @@
   /// Makes use of what was found while too few entries are connected.
   void OnEntriesFound(const found_entries& found);
 
+  /// A read of the data centres that are out has ended with \p read.
+  void OnOutListRead(const result<out_list>& read);
+
   agent_core& core() { return core_; }
 
  private:
   std::size_t connected_links() const;
-  void Call(task_call call) override { on_call_(std::move(call)); }
-  void StopCall(std::uint64_t call) override { on_stop_call_(call); }
+  void Call(task_call call) override { output_.on_call(std::move(call)); }
+  void StopCall(std::uint64_t call) override { output_.on_stop_call(call); }
   void ResultReady(incarnation entry) override;
   void StatusChanged() override;
   void PauseDetected() override;
@@ -71,6 +83,8 @@
   /// stop.
   void FinishStop();
   void ScheduleLinkUpdate();
+  /// Reads the data centres that are out when that is due.
+  void RefreshOutList();
   /// Makes the core check its waiting starts after kWaitCheckInterval.
   void ScheduleWaitCheck();
   /// \returns the addresses of the entries to connect to: those that
@@ -89,13 +103,12 @@
   const agent_settings& settings_;
   const clock& time_;
   work_queue& inbox_;
-  call_sink on_call_;
-  stop_sink on_stop_call_;
-  view_sink on_view_;
+  output output_;
   random_source random_;
   kj::AsyncIoContext io_;
   kj::UnixEventPort::FdObserver inbox_observer_;
   agent_core core_;
+  out_list_refresh out_list_refresh_;
   entry_link::context link_context_;
   std::map<std::string, std::unique_ptr<entry_link>> links_;
   /// The entries that connected entries have listed last, by address.
--- a/src/jayrill/agent/internal/agent_port.h
+++ b/src/jayrill/agent/internal/agent_port.h
@@ -35,7 +35,8 @@
     return kj::READY_NOW;
   }
   kj::Promise<void> heartbeat(HeartbeatContext context) override {
-    link_.OnHeartbeat(serial_, context.getParams().getEntries());
+    const auto params = context.getParams();
+    link_.OnHeartbeat(serial_, params.getEntries(), params.getOutList());
     return kj::READY_NOW;
   }
 
--- a/src/jayrill/agent/internal/counters_text.cc
+++ b/src/jayrill/agent/internal/counters_text.cc
@@ -30,6 +30,8 @@
     {"lost_sessions", &agent_counters::lost_sessions},
     {"reports", &agent_counters::reports},
     {"connects", &agent_counters::connects},
+    {"out_list_reads", &agent_counters::out_list_reads},
+    {"failed_out_list_reads", &agent_counters::failed_out_list_reads},
 };
 
 }  // namespace
--- a/src/jayrill/config/config_source.h
+++ b/src/jayrill/config/config_source.h
@@ -2,10 +2,10 @@
 #define JAYRILL_CONFIG_CONFIG_SOURCE_H_
 
 #include <functional>
-#include <set>
-#include <string>
 
+#include "jayrill/base/clock.h"
 #include "jayrill/config/config_holder.h"
+#include "jayrill/config/out_list.h"
 
 namespace jayrill {
 
@@ -25,9 +25,11 @@
     /// Called whenever a read of the store has shown that the configuration in
     /// force is still the newest one.
     std::function<void()> on_confirmed;
-    /// Called when the data centres that operators have taken out have changed,
-    /// where these can be read ahead of the whole configuration. May be empty.
-    std::function<void(const std::set<std::string>&)> on_out_changed = {};
+    /// Called whenever a read of the store has shown which data centres are out
+    /// of service, where these can be read ahead of the whole configuration.
+    /// The store held the list at the time that is passed, or later. May be
+    /// empty.
+    std::function<void(const out_list&, steady_time)> on_out_list = {};
   };
 
   virtual ~config_source() = default;
--- a/src/jayrill/config/translated_config_source.cc
+++ b/src/jayrill/config/translated_config_source.cc
@@ -30,12 +30,14 @@
   store::watch_listener watcher;
   watcher.on_event = [this](const store_event& event) { OnEvent(event); };
   watcher.on_confirmed = [] {};
-  watcher.on_progress = [this](store_revision as_of) { OnProgress(as_of); };
+  watcher.on_progress = [this](const watch_progress& progress) {
+    OnProgress(progress);
+  };
   watcher.on_interrupted = [this](const error& failure) {
     log_.OnInterrupted(failure);
   };
   watch_ = backing.Watch(translator_.Prefix(), std::move(watcher));
-  if (listener_.on_out_changed) {
+  if (listener_.on_out_list) {
     WatchOut(backing);
   }
 }
@@ -43,7 +45,9 @@
 void translated_config_source::WatchOut(store& backing) {
   store::watch_listener watcher;
   watcher.on_event = [this](const store_event& event) { OnOutEvent(event); };
-  watcher.on_progress = [this](store_revision) { out_log_.OnWorking(); };
+  watcher.on_progress = [this](const watch_progress& progress) {
+    OnOutProgress(progress);
+  };
   watcher.on_interrupted = [this](const error& failure) {
     out_log_.OnInterrupted(failure);
   };
@@ -63,7 +67,24 @@
   }
   LOG(INFO) << "config: data centre " << data_centre
             << (event.value ? " is out" : " is not out any more");
-  listener_.on_out_changed(out_);
+}
+
+void translated_config_source::OnOutProgress(const watch_progress& progress) {
+  out_log_.OnWorking();
+  listener_.on_out_list({{progress.as_of.value}, out_}, progress.asked);
+}
+
+void translated_config_source::ReportOutItems(const watch_progress& progress) {
+  if (!listener_.on_out_list) {
+    return;
+  }
+  const std::string prefix = translator_.OutPrefix();
+  out_list list{{progress.as_of.value}, {}};
+  for (auto item = items_.lower_bound(prefix);
+       item != items_.end() && item->first.starts_with(prefix); ++item) {
+    list.data_centres.insert(item->first.substr(prefix.size()));
+  }
+  listener_.on_out_list(list, progress.asked);
 }
 
 void translated_config_source::OnEvent(const store_event& event) {
@@ -76,21 +97,28 @@
   }
 }
 
-void translated_config_source::OnProgress(store_revision as_of) {
+void translated_config_source::OnProgress(const watch_progress& progress) {
   log_.OnWorking();
+  ReportOutItems(progress);
+  if (UpdateConfig(progress.as_of)) {
+    listener_.on_confirmed();
+  }
+}
+
+bool translated_config_source::UpdateConfig(store_revision as_of) {
   if (std::exchange(items_changed_, false)) {
     result<cluster_config> translated = translator_.Translate(items_);
     if (!translated) {
       LOG(ERROR) << "config: " << ToString(translated.error()) << "; revision "
                  << holder_.revision().value << " stays in force";
       translation_ = nullptr;
-      return;
+      return false;
     }
     translation_ =
         std::make_shared<const cluster_config>(std::move(*translated));
   }
   if (!translation_ || as_of.value < holder_.revision().value) {
-    return;  // The watch is behind a configuration received over a session.
+    return false;  // The watch is behind a configuration of a session.
   }
   if (holder_.revision().value == 0 ||
       !EqualExceptRevision(*translation_, *holder_.current())) {
@@ -100,7 +128,7 @@
                               : as_of.value;
     Offer(std::make_shared<const cluster_config>(std::move(next)));
   }
-  listener_.on_confirmed();
+  return true;
 }
 
 void translated_config_source::Offer(shared config) {
--- a/src/jayrill/config/translated_config_source.h
+++ b/src/jayrill/config/translated_config_source.h
@@ -61,8 +61,15 @@
   /// Follows the data centres that are out, ahead of the configuration.
   void WatchOut(store& backing);
   void OnOutEvent(const store_event& event);
+  void OnOutProgress(const watch_progress& progress);
   void OnEvent(const store_event& event);
-  void OnProgress(store_revision as_of);
+  void OnProgress(const watch_progress& progress);
+  /// Translates items_ if they have changed, and offers the result.
+  /// \returns false when they hold no valid configuration, or one that is older
+  /// than the one in force.
+  bool UpdateConfig(store_revision as_of);
+  /// Passes the data centres that are out by items_ to the listener.
+  void ReportOutItems(const watch_progress& progress);
 
   const config_translator& translator_;
   listener listener_;
--- a/src/jayrill/entry/agent_connection.cc
+++ b/src/jayrill/entry/agent_connection.cc
@@ -175,6 +175,7 @@
     const std::vector<entry_endpoint>& entries) {
   auto request = Port().heartbeatRequest();
   Encode(entries, request.initEntries(static_cast<unsigned>(entries.size())));
+  server_.WriteOutList(request.initOutList());
   calls_.add(request.send().ignoreResult());
 }
 
--- a/src/jayrill/entry/agent_server.cc
+++ b/src/jayrill/entry/agent_server.cc
@@ -156,11 +156,15 @@
   status_interval_ = StatusReportInterval(sessions, settings_.processor_cores);
   const auto interval = heartbeat_interval_ * 3 / 2;
   const steady_time now = time_.Now();
+  const std::set<std::string>& out =
+      core_.data_centres_out().list().data_centres;
   const bool sends_list =
-      entries_changed_ && now - entries_sent_at_ >= kEntryListInterval;
+      out != sent_out_ ||
+      (entries_changed_ && now - entries_sent_at_ >= kEntryListInterval);
   if (sends_list) {
     entries_changed_ = false;
     entries_sent_at_ = now;
+    sent_out_ = out;
   }
   for (const auto& [agent, connection] : agent_connections_) {
     if (sends_list || now - connection->last_sent() >= interval) {
@@ -198,6 +202,22 @@
   ScheduleFlush();
 }
 
+void agent_server::OnAgentOutList(wire::OutList::Reader list) {
+  if (list.getRevision() != 0) {
+    core_.OfferOutList(Decode(list).list);
+  }
+}
+
+void agent_server::WriteOutList(wire::OutList::Builder wire) const {
+  const known_out_list& known = core_.data_centres_out();
+  aged_out_list aged{known.list(), std::nullopt};
+  if (known.confirmed()) {
+    aged.age = std::chrono::ceil<std::chrono::milliseconds>(time_.Now() -
+                                                            *known.confirmed());
+  }
+  Encode(aged, wire);
+}
+
 void agent_server::OnConfigAcknowledged(const agent_connection& connection,
                                         std::uint64_t push,
                                         config_revision revision) {
--- a/src/jayrill/entry/agent_server.h
+++ b/src/jayrill/entry/agent_server.h
@@ -85,6 +85,10 @@
                             config_revision revision);
   /// Writes the configuration in force to \p wire, nothing if there is none.
   void WriteConfig(wire::Config::Builder wire);
+  /// Takes over \p list from an agent if it is newer than the one in force.
+  void OnAgentOutList(wire::OutList::Reader list);
+  /// Writes the data centres that are out, and the age of that list.
+  void WriteOutList(wire::OutList::Builder wire) const;
 
   const dispatch_settings& settings() const { return settings_; }
   const std::vector<entry_endpoint>& entries() const { return entries_; }
@@ -139,6 +143,8 @@
   dispatcher core_;
   std::vector<entry_endpoint> entries_;
   bool entries_changed_ = false;  ///< Since they were sent to all agents.
+  /// The data centres that are out, as last sent to all agents.
+  std::set<std::string> sent_out_;
   steady_time entries_sent_at_;
   std::set<agent_connection*> connections_;
   std::map<agent_handle, agent_connection*> agent_connections_;
--- a/src/jayrill/entry/dispatch_port.h
+++ b/src/jayrill/entry/dispatch_port.h
@@ -5,13 +5,13 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
 #include "jayrill/base/clock.h"
 #include "jayrill/base/ids.h"
 #include "jayrill/config/cluster_config.h"
+#include "jayrill/config/out_list.h"
 #include "jayrill/entry/dispatch_counters.h"
 #include "jayrill/job/job_outcome.h"
 #include "jayrill/job/job_spec.h"
@@ -84,10 +84,9 @@
   /// Sets the list of all live entries and passes it to the agents.
   virtual void SetEntries(std::vector<entry_endpoint> entries) = 0;
 
-  /// Replaces the data centres that get no starts whether the configuration in
-  /// force says so or not: operators have taken them out, and a configuration
-  /// that says so may still be on its way.
-  virtual void SetDataCentresOut(std::set<std::string> data_centres) = 0;
+  /// Offers the data centres that get no starts; ignored if a newer list is
+  /// known. The store held \p list at \p confirmed or later.
+  virtual void OfferOutList(out_list list, steady_time confirmed) = 0;
 
   /// Sets this entry's share of each team's quota, 0 to 1.
   virtual void SetTeamShares(std::map<std::string, double> shares) = 0;
--- a/src/jayrill/entry/dispatch_service.cc
+++ b/src/jayrill/entry/dispatch_service.cc
@@ -249,10 +249,10 @@
   });
 }
 
-void dispatch_service::SetDataCentresOut(std::set<std::string> data_centres) {
-  queue_.Post([this, data_centres = std::move(data_centres)] {
+void dispatch_service::OfferOutList(out_list list, steady_time confirmed) {
+  queue_.Post([this, list = std::move(list), confirmed] {
     if (server_ != nullptr) {
-      server_->core().SetDataCentresOut(data_centres);
+      server_->core().OfferOutList(list, confirmed);
     }
   });
 }
--- a/src/jayrill/entry/dispatch_service.h
+++ b/src/jayrill/entry/dispatch_service.h
@@ -61,7 +61,7 @@
   void OfferConfig(shared_config config) override;
   void ConfirmConfig() override;
   void SetEntries(std::vector<entry_endpoint> entries) override;
-  void SetDataCentresOut(std::set<std::string> data_centres) override;
+  void OfferOutList(out_list list, steady_time confirmed) override;
   void SetTeamShares(std::map<std::string, double> shares) override;
   void OnNewerConfig(std::function<void(shared_config)> listener) override;
   void GetStatus(std::function<void(dispatch_status)> done) override;
--- a/src/jayrill/entry/dispatcher.cc
+++ b/src/jayrill/entry/dispatcher.cc
@@ -1,5 +1,7 @@
 #include "jayrill/entry/dispatcher.h"
 
+#include <glog/logging.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -37,24 +39,28 @@
 
 void dispatcher::ApplyConfig(shared_config config) {
   config_ = std::move(config);
-  const steady_time now = time_.Now();
+  out_list_.Offer(OutListOf(*config_));
+  ApplyOutList();
   for (const auto& [handle, session] : agents_.sessions()) {
-    ApplyService(*session, now);
     PushConfigIfNeeded(*session);
   }
-  for (auto& [service, pool] : agents_.pools()) {
-    pool.set_needs_placement(true);
-  }
 }
 
-void dispatcher::SetDataCentresOut(std::set<std::string> data_centres) {
+void dispatcher::OfferOutList(out_list list,
+                              std::optional<steady_time> confirmed) {
   BeginEvent();
-  early_out_ = std::move(data_centres);
-  if (config_) {
-    const steady_time now = time_.Now();
-    for (const auto& [handle, session] : agents_.sessions()) {
-      ApplyService(*session, now);
-    }
+  if (out_list_.Offer(std::move(list), confirmed)) {
+    LOG(INFO) << "dispatch: data centres out="
+              << out_list_.list().data_centres.size()
+              << " revision=" << out_list_.list().revision.value;
+    ApplyOutList();
+  }
+}
+
+void dispatcher::ApplyOutList() {
+  const steady_time now = time_.Now();
+  for (const auto& [handle, session] : agents_.sessions()) {
+    ApplyService(*session, now);
   }
   for (auto& [service, pool] : agents_.pools()) {
     pool.set_needs_placement(true);
@@ -62,9 +68,9 @@
 }
 
 void dispatcher::ApplyService(agent_session& session, steady_time now) {
-  const std::string& data_centre = session.data_centre();
-  session.SetInService(
-      !config_->IsOut(data_centre) && !early_out_.contains(data_centre), now);
+  if (config_) {
+    session.SetInService(!out_list_.IsOut(session.data_centre()), now);
+  }
 }
 
 void dispatcher::PushConfigIfNeeded(agent_session& session) {
@@ -131,9 +137,7 @@
             "the agent restarted");
   EndStarts(session, effect->fenced, task_outcome::kNotRun,
             "the connection to the agent was cut");
-  if (config_) {
-    ApplyService(session, now);
-  }
+  ApplyService(session, now);
   start_up_.OnAgentConnected(now);
   session.SetSlowness(speed_model_.Slowness(session.handle().value), now);
   isolation_detector_.OnAgentContact(hello.data_centre, now);
--- a/src/jayrill/entry/dispatcher.h
+++ b/src/jayrill/entry/dispatcher.h
@@ -12,6 +12,7 @@
 #include "jayrill/base/error.h"
 #include "jayrill/base/log_limit.h"
 #include "jayrill/base/random_source.h"
+#include "jayrill/config/known_out_list.h"
 #include "jayrill/entry/agent_table.h"
 #include "jayrill/entry/crash_table.h"
 #include "jayrill/entry/dispatch_counters.h"
@@ -66,9 +67,10 @@
   void Cancel(job_id id);
   void OfferConfig(shared_config config);
   void ConfirmConfig();
-  /// Replaces the data centres that get no starts whatever the configuration
-  /// in force says of them.
-  void SetDataCentresOut(std::set<std::string> data_centres);
+  /// Adopts the data centres that get no starts if \p list is newer, whether
+  /// the store or an agent has sent it. \p confirmed: the store held \p list
+  /// then or later.
+  void OfferOutList(out_list list, std::optional<steady_time> confirmed = {});
 
   void SetTeamShares(const std::map<std::string, double>& shares);
   void Drain(std::function<void()> drained);
@@ -119,6 +121,7 @@
   }
 
   const shared_config& config() const { return config_; }
+  const known_out_list& data_centres_out() const { return out_list_; }
 
   /// \returns true when the entry is ready for jobs: it has a configuration,
   /// the wait for agents is over and enough of them are connected.
@@ -280,7 +283,9 @@
   void PushConfigIfNeeded(agent_session& session);
   void PushConfig(agent_session& session);
   void ApplyConfig(shared_config config);
-  /// Applies config_ and early_out_ to \p session.
+  /// Applies out_list_ to the sessions of all agents.
+  void ApplyOutList();
+  /// Applies out_list_ to \p session.
   void ApplyService(agent_session& session, steady_time now);
 
   /// Disconnects silent agents, and closes sessions that stay disconnected.
@@ -334,8 +339,7 @@
   retransmission_window retransmissions_;
   pause_detector pause_detector_;
   shared_config config_;
-  /// Data centres that are out ahead of a configuration that says so.
-  std::set<std::string> early_out_;
+  known_out_list out_list_;
   dispatch_counters counters_;
   std::uint64_t last_push_ = 0;  ///< Number of the latest configuration push.
   std::uint64_t last_connection_ = 0;
--- a/src/jayrill/entry/entry_port_server.cc
+++ b/src/jayrill/entry/entry_port_server.cc
@@ -45,6 +45,7 @@
   KJ_REQUIRE(wire_hello.getProtocolVersion() == kProtocolVersion,
              "the agent and the entry have different protocol versions");
   server.OnAgentConfig(wire_hello.getConfig());
+  server.OnAgentOutList(wire_hello.getOutList());
   const auto reply = server.core().Connect(DecodeHello(wire_hello));
   if (!reply) {
     kj::throwFatalException(
@@ -64,6 +65,7 @@
       static_cast<std::uint32_t>(server.status_interval().count()));
   welcome.setResumed(reply->resumed);
   welcome.setSession(reply->session.value);
+  server.WriteOutList(welcome.initOutList());
   results.setSession(kj::heap<entry_session_server>(connection_));
   server.ScheduleFlush();
   return kj::READY_NOW;
@@ -74,6 +76,7 @@
   const auto report = context.getParams().getReport();
   server.HandlePostedCalls();
   server.OnAgentConfig(report.getConfig());
+  server.OnAgentOutList(report.getOutList());
   const std::vector<task_result> results = jayrill::Decode(report.getResults());
   const bool accepted = server.core().OnReport(
       connection_.agent(), connection_.id(), results,
@@ -87,6 +90,7 @@
       static_cast<std::uint32_t>(server.status_interval().count()));
   answer.setCallersLagMs(
       static_cast<std::uint32_t>(server.callers_lag().count()));
+  server.WriteOutList(answer.initOutList());
   connection_.OnReportAnswered();
   return kj::READY_NOW;
 }
--- a/src/jayrill/entry/entry_process.cc
+++ b/src/jayrill/entry/entry_process.cc
@@ -126,8 +126,8 @@
   const config_source::listener listener{
       [this](const shared_config& config) { OnConfig(config); },
       [this] { OnConfirmed(); },
-      [this](const std::set<std::string>& out) {
-        dispatch_.SetDataCentresOut(out);
+      [this](const out_list& list, steady_time confirmed) {
+        dispatch_.OfferOutList(list, confirmed);
       }};
   if (overrides_.translator != nullptr) {
     config_ = std::make_unique<translated_config_source>(
--- a/src/jayrill/membership/membership.cc
+++ b/src/jayrill/membership/membership.cc
@@ -31,7 +31,7 @@
       {[this](const store_event& event) { OnEvent(event); },
        {},
        [this](const error& failure) { log_.OnInterrupted(failure); },
-       [this](store_revision) { log_.OnWorking(); }});
+       [this](const watch_progress&) { log_.OnWorking(); }});
   Tick();
 }
 
--- a/src/jayrill/rpc/codec.cc
+++ b/src/jayrill/rpc/codec.cc
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// Stands for an age that is not known.
+constexpr std::uint32_t kUnknownAge = std::numeric_limits<std::uint32_t>::max();
+
 std::uint32_t ToWireMillis(std::chrono::milliseconds duration) {
   const auto limit =
       static_cast<std::int64_t>(std::numeric_limits<std::uint32_t>::max());
@@ -248,6 +251,32 @@
   return entries;
 }
 
+void Encode(const aged_out_list& aged, wire::OutList::Builder wire) {
+  wire.setRevision(aged.list.revision.value);
+  wire.setAgeMs(aged.age ? std::min(ToWireMillis(*aged.age), kUnknownAge - 1)
+                         : kUnknownAge);
+  auto names = wire.initDataCentres(
+      static_cast<unsigned>(aged.list.data_centres.size()));
+  unsigned index = 0;
+  for (const std::string& name : aged.list.data_centres) {
+    names.set(index++, name);
+  }
+}
+
+aged_out_list Decode(wire::OutList::Reader wire) {
+  aged_out_list aged{{{wire.getRevision()}, {}}, std::nullopt};
+  if (wire.getAgeMs() != kUnknownAge) {
+    aged.age = std::chrono::milliseconds(wire.getAgeMs());
+  }
+  for (const auto name : wire.getDataCentres()) {
+    if (aged.list.data_centres.size() == kMaxListedDataCentres) {
+      break;
+    }
+    aged.list.data_centres.insert(ToString(name));
+  }
+  return aged;
+}
+
 std::chrono::microseconds DecodeClock(std::uint64_t micros) {
   // Limited, so that sums with a time from a faulty peer cannot overflow, also
   // in nanoseconds.
--- a/src/jayrill/rpc/codec.h
+++ b/src/jayrill/rpc/codec.h
@@ -3,10 +3,12 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "jayrill/base/clock.h"
+#include "jayrill/config/out_list.h"
 #include "jayrill/job/start_request.h"
 #include "jayrill/job/task_result.h"
 #include "jayrill/rpc/dispatch.capnp.h"
@@ -22,6 +24,9 @@
 /// list cannot fill its memory.
 inline constexpr std::uint32_t kMaxListedEntries = 1024;
 
+/// The same for the data centres that are out.
+inline constexpr std::uint32_t kMaxListedDataCentres = 1024;
+
 /// Writes a domain value into a message under construction. Durations that the
 /// message cannot hold are limited to its range.
 void Encode(const start_request& order, wire::Start::Builder wire);
@@ -47,6 +52,21 @@
 std::vector<entry_endpoint> Decode(
     capnp::List<wire::EntryEndpoint>::Reader wire);
 
+/// A list in a message, with the time since the store has shown its sender that
+/// it is current; nothing: not known.
+struct aged_out_list {
+  out_list list;
+  std::optional<std::chrono::milliseconds> age;
+
+  auto operator<=>(const aged_out_list&) const = default;
+};
+
+void Encode(const aged_out_list& aged, wire::OutList::Builder wire);
+
+/// \returns the list, without the data centres after the first
+/// kMaxListedDataCentres.
+aged_out_list Decode(wire::OutList::Reader wire);
+
 /// \returns the time of a steady clock in a message; zero when it is not known.
 std::chrono::microseconds DecodeClock(std::uint64_t micros);
 
--- a/src/jayrill/rpc/dispatch.capnp
+++ b/src/jayrill/rpc/dispatch.capnp
@@ -20,13 +20,15 @@
 
 interface EntrySession {
   report @0 (report :AgentReport)
-      -> (heartbeatMs :UInt32, statusMs :UInt32, callersLagMs :UInt32);
+      -> (heartbeatMs :UInt32, statusMs :UInt32, callersLagMs :UInt32,
+          outList :OutList);
   # Carries results and the state of the minion; also the heartbeat of the agent.
   # The response acknowledges every result of the report. heartbeatMs is the
   # heartbeat interval, which changes with the number of sessions of the entry;
   # 0: unchanged. statusMs is the shortest time between two reports without
   # results that the entry asks for. callersLagMs is for how long the entry may
-  # have missed that callers have left; 0: it hears them.
+  # have missed that callers have left; 0: it hears them. outList is the newest
+  # list that the entry knows.
 
   goodbye @1 () -> ();
   # The agent ends after a graceful stop. No start is outstanding, unless the
@@ -41,10 +43,10 @@
   # interrupted when it was stopped, otherwise its own outcome.
 
   configure @2 (config :Config) -> (revision :UInt64);
-  heartbeat @3 (entries :List(EntryEndpoint)) -> ();
+  heartbeat @3 (entries :List(EntryEndpoint), outList :OutList) -> ();
   # Sent when the entry has sent nothing, not even the response to a report, for
-  # one and a half heartbeat intervals, and when the list has changed. Carries
-  # all live entries.
+  # one and a half heartbeat intervals, and when one of the lists has changed.
+  # Carries all live entries.
 }
 
 struct EntryEndpoint {
@@ -73,6 +75,7 @@
   sentMicros @10 :UInt64;    # as in AgentReport
   session @11 :UInt64;       # of the last welcome that the agent has received
                              # from this entry; 0: not known
+  outList @12 :OutList;      # newest that the agent knows
 }
 
 struct EntryWelcome {
@@ -83,6 +86,7 @@
                              # the agent drops its unacknowledged results
   statusMs @4 :UInt32;       # shortest time between two reports without results
   session @5 :UInt64;        # names the session among those of the entry
+  outList @6 :OutList;       # newest that the entry knows
 }
 
 struct Config {
@@ -90,6 +94,15 @@
   packed @1 :Data;           # compressed; without the audit trail
 }
 
+struct OutList {
+  # All data centres that operators have taken out of service.
+  revision @0 :UInt64;       # of the store, as of which it is; 0: not known
+  dataCentres @1 :List(Text);
+  ageMs @2 :UInt32 = 0xffffffff;
+  # For how long the store has not shown the sender that the list is current;
+  # 2^32 - 1: not known.
+}
+
 struct StartBatch {
   revision @0 :UInt64;       # configuration by which the entry placed them
   epoch @1 :UInt64;
@@ -201,4 +214,6 @@
   status @1 :MinionStatus;
   config @2 :Config;         # set if the agent has a newer one than the entry
   sentMicros @3 :UInt64;     # on the agent's steady clock; 0: not known
+  outList @4 :OutList;       # set if the agent has a newer one than the entry,
+                             # with other data centres
 }
--- a/src/jayrill/rpc/dispatch.capnp.h
+++ b/src/jayrill/rpc/dispatch.capnp.h
@@ -43,6 +43,7 @@
 CAPNP_DECLARE_SCHEMA(fcc843daa4888adb);
 CAPNP_DECLARE_SCHEMA(9314e51a09c847cb);
 CAPNP_DECLARE_SCHEMA(8d4c5b8618b3f790);
+CAPNP_DECLARE_SCHEMA(80ceaa7e1178afda);
 CAPNP_DECLARE_SCHEMA(86a0811cd61eaef6);
 CAPNP_DECLARE_SCHEMA(e96bc21bb084c795);
 CAPNP_DECLARE_SCHEMA(82db2e55169b57c3);
@@ -208,7 +209,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fc5523bf8835d071, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(fc5523bf8835d071, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -368,7 +369,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(97eab9dc73cdc2f1, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(97eab9dc73cdc2f1, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -428,7 +429,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fcc843daa4888adb, 6, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(fcc843daa4888adb, 6, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -443,7 +444,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9314e51a09c847cb, 3, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(9314e51a09c847cb, 3, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -465,6 +466,21 @@
   };
 };
 
+struct OutList {
+  OutList() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(80ceaa7e1178afda, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct StartBatch {
   StartBatch() = delete;
 
@@ -567,7 +583,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(afe8b594b97d90a7, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(afe8b594b97d90a7, 1, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1146,6 +1162,9 @@
 
   inline  ::uint32_t getCallersLagMs() const;
 
+  inline bool hasOutList() const;
+  inline  ::jayrill::wire::OutList::Reader getOutList() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1183,6 +1202,13 @@
   inline  ::uint32_t getCallersLagMs();
   inline void setCallersLagMs( ::uint32_t value);
 
+  inline bool hasOutList();
+  inline  ::jayrill::wire::OutList::Builder getOutList();
+  inline void setOutList( ::jayrill::wire::OutList::Reader value);
+  inline  ::jayrill::wire::OutList::Builder initOutList();
+  inline void adoptOutList(::capnp::Orphan< ::jayrill::wire::OutList>&& value);
+  inline ::capnp::Orphan< ::jayrill::wire::OutList> disownOutList();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1201,6 +1227,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::jayrill::wire::OutList::Pipeline getOutList();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1906,6 +1933,9 @@
   inline bool hasEntries() const;
   inline  ::capnp::List< ::jayrill::wire::EntryEndpoint,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
 
+  inline bool hasOutList() const;
+  inline  ::jayrill::wire::OutList::Reader getOutList() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1941,6 +1971,13 @@
   inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::jayrill::wire::EntryEndpoint,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::jayrill::wire::EntryEndpoint,  ::capnp::Kind::STRUCT>> disownEntries();
 
+  inline bool hasOutList();
+  inline  ::jayrill::wire::OutList::Builder getOutList();
+  inline void setOutList( ::jayrill::wire::OutList::Reader value);
+  inline  ::jayrill::wire::OutList::Builder initOutList();
+  inline void adoptOutList(::capnp::Orphan< ::jayrill::wire::OutList>&& value);
+  inline ::capnp::Orphan< ::jayrill::wire::OutList> disownOutList();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1959,6 +1996,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::jayrill::wire::OutList::Pipeline getOutList();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2272,6 +2310,9 @@
 
   inline  ::uint64_t getSession() const;
 
+  inline bool hasOutList() const;
+  inline  ::jayrill::wire::OutList::Reader getOutList() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2360,6 +2401,13 @@
   inline  ::uint64_t getSession();
   inline void setSession( ::uint64_t value);
 
+  inline bool hasOutList();
+  inline  ::jayrill::wire::OutList::Builder getOutList();
+  inline void setOutList( ::jayrill::wire::OutList::Reader value);
+  inline  ::jayrill::wire::OutList::Builder initOutList();
+  inline void adoptOutList(::capnp::Orphan< ::jayrill::wire::OutList>&& value);
+  inline ::capnp::Orphan< ::jayrill::wire::OutList> disownOutList();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2380,6 +2428,7 @@
 
   inline  ::jayrill::wire::Config::Pipeline getConfig();
   inline  ::jayrill::wire::MinionStatus::Pipeline getStatus();
+  inline  ::jayrill::wire::OutList::Pipeline getOutList();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2419,6 +2468,9 @@
 
   inline  ::uint64_t getSession() const;
 
+  inline bool hasOutList() const;
+  inline  ::jayrill::wire::OutList::Reader getOutList() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2473,6 +2525,13 @@
   inline  ::uint64_t getSession();
   inline void setSession( ::uint64_t value);
 
+  inline bool hasOutList();
+  inline  ::jayrill::wire::OutList::Builder getOutList();
+  inline void setOutList( ::jayrill::wire::OutList::Reader value);
+  inline  ::jayrill::wire::OutList::Builder initOutList();
+  inline void adoptOutList(::capnp::Orphan< ::jayrill::wire::OutList>&& value);
+  inline ::capnp::Orphan< ::jayrill::wire::OutList> disownOutList();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2492,6 +2551,7 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::jayrill::wire::Config::Pipeline getConfig();
+  inline  ::jayrill::wire::OutList::Pipeline getOutList();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2586,6 +2646,98 @@
 };
 #endif  // !CAPNP_LITE
 
+class OutList::Reader {
+public:
+  typedef OutList Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRevision() const;
+
+  inline bool hasDataCentres() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getDataCentres() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class OutList::Builder {
+public:
+  typedef OutList Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline bool hasDataCentres();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getDataCentres();
+  inline void setDataCentres( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setDataCentres(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initDataCentres(unsigned int size);
+  inline void adoptDataCentres(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownDataCentres();
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class OutList::Pipeline {
+public:
+  typedef OutList Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class StartBatch::Reader {
 public:
   typedef StartBatch Reads;
@@ -3383,6 +3535,9 @@
 
   inline  ::uint64_t getSentMicros() const;
 
+  inline bool hasOutList() const;
+  inline  ::jayrill::wire::OutList::Reader getOutList() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3435,6 +3590,13 @@
   inline  ::uint64_t getSentMicros();
   inline void setSentMicros( ::uint64_t value);
 
+  inline bool hasOutList();
+  inline  ::jayrill::wire::OutList::Builder getOutList();
+  inline void setOutList( ::jayrill::wire::OutList::Reader value);
+  inline  ::jayrill::wire::OutList::Builder initOutList();
+  inline void adoptOutList(::capnp::Orphan< ::jayrill::wire::OutList>&& value);
+  inline ::capnp::Orphan< ::jayrill::wire::OutList> disownOutList();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3455,6 +3617,7 @@
 
   inline  ::jayrill::wire::MinionStatus::Pipeline getStatus();
   inline  ::jayrill::wire::Config::Pipeline getConfig();
+  inline  ::jayrill::wire::OutList::Pipeline getOutList();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3789,6 +3952,45 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool EntrySession::ReportResults::Reader::hasOutList() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntrySession::ReportResults::Builder::hasOutList() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::jayrill::wire::OutList::Reader EntrySession::ReportResults::Reader::getOutList() const {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::OutList>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::jayrill::wire::OutList::Builder EntrySession::ReportResults::Builder::getOutList() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::OutList>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::jayrill::wire::OutList::Pipeline EntrySession::ReportResults::Pipeline::getOutList() {
+  return  ::jayrill::wire::OutList::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void EntrySession::ReportResults::Builder::setOutList( ::jayrill::wire::OutList::Reader value) {
+  ::capnp::_::PointerHelpers< ::jayrill::wire::OutList>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::jayrill::wire::OutList::Builder EntrySession::ReportResults::Builder::initOutList() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::OutList>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EntrySession::ReportResults::Builder::adoptOutList(
+    ::capnp::Orphan< ::jayrill::wire::OutList>&& value) {
+  ::capnp::_::PointerHelpers< ::jayrill::wire::OutList>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::jayrill::wire::OutList> EntrySession::ReportResults::Builder::disownOutList() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::OutList>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline AgentPort::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -3977,6 +4179,45 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool AgentPort::HeartbeatParams::Reader::hasOutList() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool AgentPort::HeartbeatParams::Builder::hasOutList() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::jayrill::wire::OutList::Reader AgentPort::HeartbeatParams::Reader::getOutList() const {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::OutList>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::jayrill::wire::OutList::Builder AgentPort::HeartbeatParams::Builder::getOutList() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::OutList>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::jayrill::wire::OutList::Pipeline AgentPort::HeartbeatParams::Pipeline::getOutList() {
+  return  ::jayrill::wire::OutList::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void AgentPort::HeartbeatParams::Builder::setOutList( ::jayrill::wire::OutList::Reader value) {
+  ::capnp::_::PointerHelpers< ::jayrill::wire::OutList>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::jayrill::wire::OutList::Builder AgentPort::HeartbeatParams::Builder::initOutList() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::OutList>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void AgentPort::HeartbeatParams::Builder::adoptOutList(
+    ::capnp::Orphan< ::jayrill::wire::OutList>&& value) {
+  ::capnp::_::PointerHelpers< ::jayrill::wire::OutList>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::jayrill::wire::OutList> AgentPort::HeartbeatParams::Builder::disownOutList() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::OutList>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool EntryEndpoint::Reader::hasAddress() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4419,6 +4660,45 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool AgentHello::Reader::hasOutList() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool AgentHello::Builder::hasOutList() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::jayrill::wire::OutList::Reader AgentHello::Reader::getOutList() const {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::OutList>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::jayrill::wire::OutList::Builder AgentHello::Builder::getOutList() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::OutList>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::jayrill::wire::OutList::Pipeline AgentHello::Pipeline::getOutList() {
+  return  ::jayrill::wire::OutList::Pipeline(_typeless.getPointerField(6));
+}
+#endif  // !CAPNP_LITE
+inline void AgentHello::Builder::setOutList( ::jayrill::wire::OutList::Reader value) {
+  ::capnp::_::PointerHelpers< ::jayrill::wire::OutList>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::jayrill::wire::OutList::Builder AgentHello::Builder::initOutList() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::OutList>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void AgentHello::Builder::adoptOutList(
+    ::capnp::Orphan< ::jayrill::wire::OutList>&& value) {
+  ::capnp::_::PointerHelpers< ::jayrill::wire::OutList>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::jayrill::wire::OutList> AgentHello::Builder::disownOutList() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::OutList>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
 inline bool EntryWelcome::Reader::hasConfig() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4548,6 +4828,45 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool EntryWelcome::Reader::hasOutList() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryWelcome::Builder::hasOutList() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::jayrill::wire::OutList::Reader EntryWelcome::Reader::getOutList() const {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::OutList>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::jayrill::wire::OutList::Builder EntryWelcome::Builder::getOutList() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::OutList>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::jayrill::wire::OutList::Pipeline EntryWelcome::Pipeline::getOutList() {
+  return  ::jayrill::wire::OutList::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void EntryWelcome::Builder::setOutList( ::jayrill::wire::OutList::Reader value) {
+  ::capnp::_::PointerHelpers< ::jayrill::wire::OutList>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::jayrill::wire::OutList::Builder EntryWelcome::Builder::initOutList() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::OutList>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void EntryWelcome::Builder::adoptOutList(
+    ::capnp::Orphan< ::jayrill::wire::OutList>&& value) {
+  ::capnp::_::PointerHelpers< ::jayrill::wire::OutList>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::jayrill::wire::OutList> EntryWelcome::Builder::disownOutList() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::OutList>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t Config::Reader::getRevision() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4596,6 +4915,72 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t OutList::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t OutList::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void OutList::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool OutList::Reader::hasDataCentres() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool OutList::Builder::hasDataCentres() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader OutList::Reader::getDataCentres() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder OutList::Builder::getDataCentres() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void OutList::Builder::setDataCentres( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void OutList::Builder::setDataCentres(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder OutList::Builder::initDataCentres(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void OutList::Builder::adoptDataCentres(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> OutList::Builder::disownDataCentres() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t OutList::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, 4294967295u);
+}
+
+inline  ::uint32_t OutList::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, 4294967295u);
+}
+inline void OutList::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value, 4294967295u);
+}
+
 inline  ::uint64_t StartBatch::Reader::getRevision() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -5779,6 +6164,45 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool AgentReport::Reader::hasOutList() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool AgentReport::Builder::hasOutList() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::jayrill::wire::OutList::Reader AgentReport::Reader::getOutList() const {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::OutList>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::jayrill::wire::OutList::Builder AgentReport::Builder::getOutList() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::OutList>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::jayrill::wire::OutList::Pipeline AgentReport::Pipeline::getOutList() {
+  return  ::jayrill::wire::OutList::Pipeline(_typeless.getPointerField(3));
+}
+#endif  // !CAPNP_LITE
+inline void AgentReport::Builder::setOutList( ::jayrill::wire::OutList::Reader value) {
+  ::capnp::_::PointerHelpers< ::jayrill::wire::OutList>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::jayrill::wire::OutList::Builder AgentReport::Builder::initOutList() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::OutList>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void AgentReport::Builder::adoptOutList(
+    ::capnp::Orphan< ::jayrill::wire::OutList>&& value) {
+  ::capnp::_::PointerHelpers< ::jayrill::wire::OutList>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::jayrill::wire::OutList> AgentReport::Builder::disownOutList() {
+  return ::capnp::_::PointerHelpers< ::jayrill::wire::OutList>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/jayrill/rpc/module.cmake
+++ b/src/jayrill/rpc/module.cmake
@@ -6,4 +6,4 @@
 
 jayrill_module(rpc
   SOURCES batched_stream.cc codec.cc
-  DEPENDS jayrill_wire jayrill_job)
+  DEPENDS jayrill_wire jayrill_config jayrill_job)
--- a/src/jayrill/store/store.h
+++ b/src/jayrill/store/store.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "jayrill/base/clock.h"
 #include "jayrill/base/error.h"
 #include "jayrill/base/ids.h"
 
@@ -50,6 +51,15 @@
   auto operator<=>(const swap_result&) const = default;
 };
 
+/// How far a watch has come.
+struct watch_progress {
+  store_revision as_of;  ///< Every change up to it was reported.
+  /// The store held exactly this state then or later.
+  steady_time asked;
+
+  auto operator<=>(const watch_progress&) const = default;
+};
+
 /// Interface to the platform's key-value store.
 ///
 /// All calls return at once; the callback runs later on the same thread,
@@ -80,7 +90,7 @@
     std::function<void(const error&)> on_interrupted;
     /// Called when every change up to a revision of the store was reported. May
     /// be empty; not every implementation calls it.
-    std::function<void(store_revision)> on_progress = {};
+    std::function<void(const watch_progress&)> on_progress = {};
   };
 
   virtual ~store() = default;
--- a/tests/entry/leaving_test.cc
+++ b/tests/entry/leaving_test.cc
@@ -91,37 +91,38 @@
 INSTANTIATE_TEST_SUITE_P(
     Ways,
     leaving_test,
-    testing::Values(leaving_case{"data_centre_out",
-                                 [](fake_cluster& cluster, fake_agent& agent) {
-                                   cluster_config config =
-                                       *cluster.entry.config();
-                                   config.data_centres["dc2"].out = true;
-                                   cluster.ChangeConfig(config);
-                                   // Reports the queued starts as not run.
-                                   agent.DeliverBatch();
-                                   agent.Report(cluster.entry, true);
-                                 }},
-                    leaving_case{"data_centre_out_ahead_of_a_configuration",
-                                 [](fake_cluster& cluster, fake_agent& agent) {
-                                   cluster.entry.SetDataCentresOut({"dc2"});
-                                   FinishAndReport(cluster, agent);
-                                 }},
-                    leaving_case{"draining",
-                                 [](fake_cluster& cluster, fake_agent& agent) {
-                                   agent.status().draining = true;
-                                   FinishAndReport(cluster, agent);
-                                 }},
-                    leaving_case{"minion_gone",
-                                 [](fake_cluster& cluster, fake_agent& agent) {
-                                   agent.status().service.clear();
-                                   agent.status().slots = 0;
-                                   FinishAndReport(cluster, agent);
-                                 }},
-                    leaving_case{"disconnected",
-                                 [](fake_cluster& cluster, fake_agent& agent) {
-                                   FinishAndReport(cluster, agent);
-                                   agent.Cut(cluster.entry, true);
-                                 }}),
+    testing::Values(
+        leaving_case{"data_centre_out",
+                     [](fake_cluster& cluster, fake_agent& agent) {
+                       cluster_config config = *cluster.entry.config();
+                       config.data_centres["dc2"].out = true;
+                       cluster.ChangeConfig(config);
+                       // Reports the queued starts as not run.
+                       agent.DeliverBatch();
+                       agent.Report(cluster.entry, true);
+                     }},
+        leaving_case{
+            "data_centre_out_ahead_of_a_configuration",
+            [](fake_cluster& cluster, fake_agent& agent) {
+              cluster.entry.OfferOutList({{cluster.revision + 1}, {"dc2"}});
+              FinishAndReport(cluster, agent);
+            }},
+        leaving_case{"draining",
+                     [](fake_cluster& cluster, fake_agent& agent) {
+                       agent.status().draining = true;
+                       FinishAndReport(cluster, agent);
+                     }},
+        leaving_case{"minion_gone",
+                     [](fake_cluster& cluster, fake_agent& agent) {
+                       agent.status().service.clear();
+                       agent.status().slots = 0;
+                       FinishAndReport(cluster, agent);
+                     }},
+        leaving_case{"disconnected",
+                     [](fake_cluster& cluster, fake_agent& agent) {
+                       FinishAndReport(cluster, agent);
+                       agent.Cut(cluster.entry, true);
+                     }}),
     [](const auto& test) { return test.param.name; });
 
 // Guards against an agent that goes silent while its connection stays open and
--- a/tests/integration/fake_entry.cc
+++ b/tests/integration/fake_entry.cc
@@ -73,6 +73,9 @@
       if (report.getConfig().getRevision() != 0) {
         recorded.newest_config = {report.getConfig().getRevision()};
       }
+      if (report.getOutList().getRevision() != 0) {
+        recorded.newest_out_list = Decode(report.getOutList()).list;
+      }
     }
     if (state_.hold_acknowledgements) {
       return kj::NEVER_DONE;
--- a/tests/integration/fake_entry.h
+++ b/tests/integration/fake_entry.h
@@ -15,6 +15,7 @@
 #include "jayrill/agent/agent_core.h"
 #include "jayrill/agent/config_copy.h"
 #include "jayrill/base/work_queue.h"
+#include "jayrill/config/out_list.h"
 #include "jayrill/rpc/dispatch.capnp.h"
 
 namespace jayrill {
@@ -31,6 +32,8 @@
     std::map<start_number, std::vector<task_result>> results;
     minion_status status;
     config_revision newest_config;
+    /// The last list that an agent has sent in a report.
+    out_list newest_out_list;
     std::uint64_t reports = 0;
     /// The agent's times in the newest hello and in the newest report.
     std::uint64_t hello_sent_micros = 0;
--- a/tests/platform/kv_store_test.cc
+++ b/tests/platform/kv_store_test.cc
@@ -82,17 +82,16 @@
   int interruptions = 0;
 
   store::watch_listener Listener() {
-    return {[this](const store_event& event) {
-              if (event.value) {
-                values[event.key] = *event.value;
-              } else {
-                values.erase(event.key);
-              }
-            },
-            [] {}, [this](const error&) { ++interruptions; },
-            [this](store_revision snapshot_revision) {
-              progress = snapshot_revision.value;
-            }};
+    return {
+        [this](const store_event& event) {
+          if (event.value) {
+            values[event.key] = *event.value;
+          } else {
+            values.erase(event.key);
+          }
+        },
+        [] {}, [this](const error&) { ++interruptions; },
+        [this](const watch_progress& state) { progress = state.as_of.value; }};
   }
 };
 
@@ -146,7 +145,7 @@
     time_.Advance(GetParam().wait);
   };
   listener.on_interrupted = [](const error&) {};
-  listener.on_progress = [&answers](store_revision) { ++answers; };
+  listener.on_progress = [&answers](const watch_progress&) { ++answers; };
   listener.on_confirmed = [&confirmed] { ++confirmed; };
   const auto watch = store_->Watch("op/", std::move(listener));
   ASSERT_TRUE(WaitFor([&] { return answers > 0; }));
--- a/tests/platform/slow_watch_test.cc
+++ b/tests/platform/slow_watch_test.cc
@@ -115,9 +115,11 @@
     adopted = config->revision;
   };
   listener.on_confirmed = [] {};
-  listener.on_out_changed = [&](const std::set<std::string>& changed) {
-    out = changed;
-    adopted_when_out = adopted;
+  listener.on_out_list = [&](const out_list& list, steady_time) {
+    if (list.data_centres != out) {
+      out = list.data_centres;
+      adopted_when_out = adopted;
+    }
   };
   const translated_config_source source(*store_, translator,
                                         std::move(listener));
--- a/tests/unit/http/fake_ports.h
+++ b/tests/unit/http/fake_ports.h
@@ -30,7 +30,7 @@
   }
   void ConfirmConfig() override {}
   void SetEntries(std::vector<entry_endpoint>) override {}
-  void SetDataCentresOut(std::set<std::string>) override {}
+  void OfferOutList(out_list, steady_time) override {}
   void SetTeamShares(std::map<std::string, double>) override {}
   void OnNewerConfig(std::function<void(shared_config)> listener) override {
     on_newer = std::move(listener);
