--- a/tests/platform/platform_store_standin.h
+++ b/tests/platform/platform_store_standin.h
@@ -8,6 +8,7 @@
 #include <QJsonObject>
 #include <QJsonValue>
 #include <QUrlQuery>
+#include <functional>
 #include <map>
 #include <string>
 #include <utility>
@@ -54,6 +55,12 @@
   /// While set, a list says after each page that there are more, and the next
   /// page is the same one.
   void SetRepeatingPages(bool repeating) { repeating_pages_ = repeating; }
+  /// Lists have at most \p items a page from now on. Calls \p between once,
+  /// after the first page of the next list.
+  void SetPages(int items, std::function<void()> between) {
+    items_per_page_ = items;
+    between_pages_ = std::move(between);
+  }
   int pages_read() const { return pages_read_; }
   /// \returns the number of lists that were refused while down.
   int refused() const { return refused_; }
@@ -134,16 +141,28 @@
     const std::string prefix =
         request.query().queryItemValue(QStringLiteral("prefix")).toStdString();
     ++pages_read_;
+    const std::string after =
+        request.query().queryItemValue(QStringLiteral("after")).toStdString();
     QJsonArray items;
+    bool has_more = repeating_pages_;
     for (const auto& [key, found] : items_) {
-      if (key.starts_with(prefix)) {
-        items.append(ToJson(key));
+      if (!key.starts_with(prefix) || (key <= after && !repeating_pages_)) {
+        continue;
+      }
+      if (items.size() == items_per_page_) {
+        has_more = true;
+        break;
       }
+      items.append(ToJson(key));
     }
-    return QJsonObject{
+    const QJsonObject page{
         {QStringLiteral("items"), items},
-        {QStringLiteral("has_more"), repeating_pages_},
+        {QStringLiteral("has_more"), has_more},
         {QStringLiteral("as_of"), static_cast<qint64>(revision_)}};
+    if (has_more && between_pages_) {
+      std::exchange(between_pages_, {})();
+    }
+    return page;
   }
 
   response Watch(const QHttpServerRequest& request) {
@@ -242,6 +261,8 @@
   bool lose_answer_ = false;
   bool repeating_pages_ = false;
   int pages_read_ = 0;
+  int items_per_page_ = 500;
+  std::function<void()> between_pages_;
   int refused_ = 0;
   std::uint64_t revision_ = 1;
   std::uint64_t history_begin_ = 0;
