Let the soak have the store reject entries and judge late starts

The faults of the group `rejection`: the store resets the connections of one or all entries, or does not answer them, for 5 to 10 s while it serves the agents, and a data centre is out for 6 to 9 s. Agents get a settings file that names the store, as on the platform. A play is broken as well when a task begins in a data centre later than 5 s after it was taken out, unless the series disturbs agents, their minions or their path to the store; the count is always printed.

--- a/tests/soak/faults.cc
+++ b/tests/soak/faults.cc
@@ -43,6 +43,9 @@
       {"store", "cut store", &self::CutStore},
       {"changes", "change configuration", &self::ChangeConfig},
       {"changes", "take out data centre", &self::TakeOutDataCentre},
+      {"rejection", "store rejects entries", &self::RejectEntries},
+      {"rejection", "take out data centre for long",
+       &self::TakeOutDataCentreForLong},
   };
   return kKinds;
 }
@@ -346,11 +349,48 @@
 }
 
 void fault_series::TakeOutDataCentre() {
+  TakeOutFor(Between(500, 4000));
+}
+
+void fault_series::TakeOutDataCentreForLong() {
+  TakeOutFor(Between(6000, 9000));
+}
+
+void fault_series::TakeOutFor(milliseconds duration) {
   const QString out =
       site_.data_centres()[random_.Below(site_.data_centres().size())];
   Note(out);
   site_.TakeOut(out);
-  After(Between(500, 4000), [this, out] { site_.TakeIn(out); });
+  After(duration, [this, out] { site_.TakeIn(out); });
+}
+
+void fault_series::RejectEntries() {
+  constexpr std::uint64_t kAllShare = 2;  // All entries every second time.
+  const bool all = random_.Below(kAllShare) == 0;
+  const bool resets = random_.Below(2) == 0;
+  const milliseconds duration = Between(5000, 10'000);
+  const QString one = AnyEntry().name;
+  Note(all ? QStringLiteral("all") : one);
+  for (entry_node& entry : site_.entries()) {
+    if (!all && entry.name != one) {
+      continue;
+    }
+    if (resets) {
+      entry.store_link->Refuse();
+      After(duration, [&entry] { entry.store_link->Admit(); });
+    } else {
+      CutFor(*entry.store_link, duration);
+    }
+  }
+}
+
+bool fault_series::LeavesAgentsAlone() const {
+  static const std::set<std::string> kGroups{
+      "changes",     "cut-off",   "freeze", "links",
+      "long-freeze", "rejection", "suspend"};
+  return std::all_of(kinds_.begin(), kinds_.end(), [](const fault_kind* kind) {
+    return kGroups.contains(kind->group);
+  });
 }
 
 }  // namespace jayrill::soak
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -34,6 +34,10 @@
              std::chrono::milliseconds max_gap);
   void Stop() { next_.stop(); }
 
+  /// \returns true when no fault of the series disturbs an agent, its minion or
+  /// its path to the store.
+  bool LeavesAgentsAlone() const;
+
   /// \returns a line for each fault, with the time since Start().
   const std::vector<std::string>& history() const { return history_; }
 
@@ -69,6 +73,8 @@
   void CutStore();
   void ChangeConfig();
   void TakeOutDataCentre();
+  void TakeOutDataCentreForLong();
+  void RejectEntries();
 
   void InflictNext();
   std::chrono::milliseconds Between(int least_ms, int most_ms);
@@ -76,6 +82,7 @@
   /// Cuts \p harmed both ways.
   void CutFor(link& harmed, std::chrono::milliseconds duration);
   void CutOffFor(entry_node& entry, std::chrono::milliseconds duration);
+  void TakeOutFor(std::chrono::milliseconds duration);
   void FreezeFor(role_process& process, std::chrono::milliseconds duration);
   void Throttle(role_process& process);
   void KillFor(role_process& process, std::chrono::milliseconds duration);
--- a/tests/soak/fleet.cc
+++ b/tests/soak/fleet.cc
@@ -2,11 +2,13 @@
 
 #include <QCoreApplication>
 #include <QEventLoop>
+#include <QFile>
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
 #include <QRandomGenerator>
 #include <QTcpServer>
+#include <algorithm>
 #include <map>
 #include <utility>
 
@@ -21,6 +23,9 @@
 
 constexpr char kService[] = "quotes";
 
+/// Below the directory of the logs.
+constexpr char kSettingsFile[] = "/settings.json";
+
 using settings_map = std::map<QString, QString>;
 
 /// \returns the settings that deploy/system.toml gives to both roles.
@@ -89,12 +94,14 @@
              run_log& runs,
              random_source& random)
     : log_directory_(log_directory.isEmpty() ? temporary_.path()
-                                             : log_directory) {
+                                             : log_directory),
+      time_(time) {
   for (int i = 0; i < size.data_centres; ++i) {
     data_centres_.push_back(QStringLiteral("dc-%1").arg(i + 1));
   }
   ChangeConfig();
   store_link_ = std::make_unique<link>(store_.Address());
+  WriteSettingsFile();
   for (int i = 0; i < size.entries; ++i) {
     AddEntry(i, program);
   }
@@ -119,6 +126,15 @@
   }
 }
 
+void fleet::WriteSettingsFile() {
+  const QJsonObject store{{QStringLiteral("address"), store_link_->Address()}};
+  QFile file(log_directory_ + QLatin1String(kSettingsFile));
+  if (file.open(QIODevice::WriteOnly)) {
+    file.write(QJsonDocument(QJsonObject{{QStringLiteral("platform"), store}})
+                   .toJson());
+  }
+}
+
 void fleet::AddEntry(int number, const QString& program) {
   entry_node node;
   node.name = QStringLiteral("entry-%1").arg(number + 1);
@@ -130,13 +146,14 @@
   node.agents_link = std::make_unique<link>(rpc);
   node.callers_link = std::make_unique<link>(
       node.http, link_options{kCallerRoundTrip, kConnectRetry});
+  node.store_link = std::make_unique<link>(store_link_->Address());
   settings_map settings = CommonSettings(node.name, node.data_centre);
   settings.insert({
       {QStringLiteral("JAYRILL_HTTP_LISTEN"), node.http},
       {QStringLiteral("JAYRILL_HEALTH_LISTEN"), node.readiness},
       {QStringLiteral("JAYRILL_RPC_LISTEN"), rpc},
       {QStringLiteral("JAYRILL_RPC_ADVERTISE"), node.agents_link->Address()},
-      {QStringLiteral("JAYRILL_STORE_ENDPOINTS"), store_link_->Address()},
+      {QStringLiteral("JAYRILL_STORE_ENDPOINTS"), node.store_link->Address()},
       {QStringLiteral("JAYRILL_PROCESSOR_CORES"), QStringLiteral("0.25")},
       {QStringLiteral("JAYRILL_SLOW_START_MS"), QStringLiteral("0")},
       {QStringLiteral("JAYRILL_STOP_DELAY_MS"), QStringLiteral("2000")},
@@ -164,6 +181,8 @@
   }
   settings_map settings = CommonSettings(node.name, node.data_centre);
   settings.insert({
+      {QStringLiteral("JAYRILL_CONFIG"),
+       log_directory_ + QLatin1String(kSettingsFile)},
       {QStringLiteral("JAYRILL_WORKER"), node.name},
       {QStringLiteral("JAYRILL_ANNOUNCE_LISTEN"), address},
       {QStringLiteral("JAYRILL_ENTRIES"), seeds.join(u',')},
@@ -221,10 +240,43 @@
 
 void fleet::TakeOut(const QString& data_centre) {
   store_.Put(EvacuationKey(data_centre), "{}");
+  const bool is_out = std::any_of(
+      out_times_.begin(), out_times_.end(), [&](const out_time& one) {
+        return one.data_centre == data_centre && !one.end;
+      });
+  if (!is_out) {
+    out_times_.push_back({data_centre, time_.Now(), std::nullopt});
+  }
 }
 
 void fleet::TakeIn(const QString& data_centre) {
   store_.Delete(EvacuationKey(data_centre));
+  for (out_time& one : out_times_) {
+    if (one.data_centre == data_centre && !one.end) {
+      one.end = time_.Now();
+    }
+  }
+}
+
+std::vector<run_record> fleet::LateRuns(const run_log& runs) const {
+  std::map<std::string, QString> data_centres;  // By minion.
+  for (const agent_node& agent : agents_) {
+    data_centres[agent.minion->id().toStdString()] = agent.data_centre;
+  }
+  std::vector<run_record> late;
+  for (const run_record& run : runs.runs()) {
+    const QString& data_centre = data_centres[run.minion];
+    const bool is_late = std::any_of(
+        out_times_.begin(), out_times_.end(), [&](const out_time& one) {
+          return one.data_centre == data_centre &&
+                 run.begin > one.begin + kOutLimit &&
+                 (!one.end || run.begin < *one.end);
+        });
+    if (is_late) {
+      late.push_back(run);
+    }
+  }
+  return late;
 }
 
 int fleet::UnexpectedEnds() const {
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -5,6 +5,7 @@
 #include <QTemporaryDir>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -21,6 +22,9 @@
 /// After a broken or missing answer a job is submitted again this much later.
 inline constexpr std::chrono::milliseconds kRepeatAfter{1300};
 
+/// No task starts in a data centre later than this after it was taken out.
+inline constexpr std::chrono::milliseconds kOutLimit{5000};
+
 /// The end of a caller's connection follows its request this much later at the
 /// earliest: a round trip to callers, who are 3 ms away.
 inline constexpr std::chrono::milliseconds kCallerRoundTrip{6};
@@ -45,6 +49,7 @@
   QString readiness;
   std::unique_ptr<link> agents_link;
   std::unique_ptr<link> callers_link;  ///< As the balancer forwards callers.
+  std::unique_ptr<link> store_link;    ///< Of this entry alone.
   std::unique_ptr<role_process> process;
 };
 
@@ -56,6 +61,13 @@
   std::unique_ptr<soak_minion> minion;
 };
 
+/// A time in which a data centre was out of service.
+struct out_time {
+  QString data_centre;
+  steady_time begin;
+  std::optional<steady_time> end;
+};
+
 /// A deployment of real processes with the settings of deploy/system.toml, and
 /// stand-ins for the store and the minions in this process.
 class fleet {
@@ -84,11 +96,17 @@
   void TakeOut(const QString& data_centre);
   void TakeIn(const QString& data_centre);
 
+  /// \returns the runs in data centres that began later than kOutLimit after
+  /// these were taken out, and before they were taken in.
+  std::vector<run_record> LateRuns(const run_log& runs) const;
+
   /// \returns how many processes have ended although nobody asked them to.
   int UnexpectedEnds() const;
 
  private:
   QString FreeAddress();
+  /// Writes the settings file of the agents, which names the store.
+  void WriteSettingsFile();
   void AddEntry(int number, const QString& program);
   void AddAgent(int number,
                 const QString& program,
@@ -100,6 +118,8 @@
   QString log_directory_;
   std::set<int> given_ports_;
   std::vector<QString> data_centres_;
+  const clock& time_;
+  std::vector<out_time> out_times_;
   review::store store_;
   std::unique_ptr<link> store_link_;
   std::vector<entry_node> entries_;
--- a/tests/soak/link.cc
+++ b/tests/soak/link.cc
@@ -52,9 +52,19 @@
   }
 }
 
+void link::Refuse() {
+  ++refusals_;
+  ResetOpenConnections();
+}
+
 void link::Accept() {
   while (QTcpSocket* const accepted = server_.nextPendingConnection()) {
     const auto open = std::make_shared<connection>();
+    if (refusals_ > 0) {
+      accepted->abort();
+      accepted->deleteLater();
+      continue;
+    }
     accepted->setParent(nullptr);
     open->caller.reset(accepted);
     open->target = std::make_unique<QTcpSocket>();
--- a/tests/soak/link.h
+++ b/tests/soak/link.h
@@ -50,6 +50,11 @@
   /// Resets the connections that are open now.
   void ResetOpenConnections();
 
+  /// Resets all connections, also those that are made later, until as many
+  /// calls of Admit() were made.
+  void Refuse();
+  void Admit() { --refusals_; }
+
  private:
   /// One way of a connection.
   struct stream {
@@ -86,6 +91,7 @@
   std::vector<connection_ptr> connections_;
   int cuts_to_target_ = 0;
   int cuts_from_target_ = 0;
+  int refusals_ = 0;
 };
 
 }  // namespace jayrill::soak
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -129,6 +129,7 @@
   const system_clock time;
   const std::vector<overlap> overlaps = log.Overlaps(time.Now());
   const std::set<std::string> refused = log.RefusedJobsThatRan();
+  const std::vector<run_record> late = site.LateRuns(log);
   const report describer(log, begin);
   std::cout << std::fixed << std::setprecision(3);
   for (std::size_t i = 0; i < std::min(kShownCases, overlaps.size()); ++i) {
@@ -143,6 +144,10 @@
       }
     }
   }
+  for (std::size_t i = 0; i < std::min(kShownCases, late.size()); ++i) {
+    std::cout << "began in a data centre that was out: ["
+              << describer.Describe(late[i]) << "]\n";
+  }
   std::cout << "soak: seed=" << settings.seed
             << " faults=" << faults.history().size()
             << " jobs=" << clients.jobs() << " runs=" << log.runs().size()
@@ -152,11 +157,13 @@
   }
   std::cout << " overlaps=" << overlaps.size()
             << " ran_although_refused=" << refused.size()
+            << " late_starts=" << late.size()
             << " unexpected_ends=" << site.UnexpectedEnds()
             << " longest_lag_ms=" << lag.longest().count()
             << " late_percent=" << lag.LatePercent() << "\n";
-  const bool is_broken =
-      !overlaps.empty() || !refused.empty() || site.UnexpectedEnds() > 0;
+  const bool are_starts_late = faults.LeavesAgentsAlone() && !late.empty();
+  const bool is_broken = !overlaps.empty() || !refused.empty() ||
+                         are_starts_late || site.UnexpectedEnds() > 0;
   return is_broken ? kBroken : kHeld;
 }
 
--- a/tests/soak/soak_minion.h
+++ b/tests/soak/soak_minion.h
@@ -37,6 +37,8 @@
               run_log& runs,
               random_source& random);
 
+  const QString& id() const { return identity_.id; }
+
   /// Ends all runs at once; the minion refuses connections until Restart().
   void Crash();
   /// Begins a new life that knows nothing of the life before.
