Retry a read of the zones that are out soon, also after an outage

After a time in which the store served nobody, the delay of retries stayed at its longest, 1 s, although an entry had confirmed the list meanwhile. The next time that a connection turned out to be dead, an agent learnt of an evacuation up to 0.8 s later than the sum of the bounds allows. Found by reading the diff; not seen by callers.

--- a/src/jayrill/agent/out_list_refresh.cc
+++ b/src/jayrill/agent/out_list_refresh.cc
@@ -18,6 +18,7 @@
   if (now - confirmed.value_or(first_confirmed_) <= kMaxUnconfirmed) {
     next_read_.reset();
     is_retry_ = false;
+    retry_delay_ = kFirstRetryDelay;
     return std::nullopt;
   }
   if (!next_read_) {
--- a/tests/unit/out_list_test.cc
+++ b/tests/unit/out_list_test.cc
@@ -71,6 +71,8 @@
   /// Reads that use up their limit before one is answered.
   int lost_reads = 0;
   milliseconds answer_time{};
+  /// Reads that failed before an entry confirmed the list once more.
+  int earlier_failures = 0;
 };
 
 void PrintTo(const refresh_case& param, std::ostream* out) {
@@ -85,6 +87,13 @@
   for (std::uint64_t seed = 1; seed <= 200; ++seed) {
     manual_clock time;
     out_list_refresh refresh(time, random_source(seed));
+    for (int failed = 0; failed < GetParam().earlier_failures;) {
+      time.Advance(kPauseTick);
+      if (refresh.Tick(std::nullopt)) {
+        refresh.OnReadEnded(false);
+        ++failed;
+      }
+    }
     const steady_time confirmed = time.Now();
     std::optional<steady_time> answered;
     int lost = 0;
@@ -115,7 +124,9 @@
                     refresh_case{"slow_answer", 0, milliseconds(500)},
                     refresh_case{"dead_connection", 1, milliseconds(50)},
                     refresh_case{"dead_connection_and_slow_answer", 1,
-                                 milliseconds(500)}),
+                                 milliseconds(500)},
+                    refresh_case{"dead_connection_after_an_outage", 1,
+                                 milliseconds(500), 10}),
     [](const auto& tested) { return tested.param.name; });
 
 // Guards against agents that read the store on a sound day, on which an entry
