--- a/src/jayrill/agent/entry_link.h
+++ b/src/jayrill/agent/entry_link.h
@@ -166,7 +166,7 @@
   connection_epoch epoch_;
   steady_time hello_sent_at_;
   config_revision entry_revision_;  // Last that the entry sent or was sent.
-  out_list entry_out_list_;         // The same.
+  out_list entry_out_list_;         // Last that the entry sent or was sent.
   std::vector<entry_endpoint> listed_entries_;
   // Batches, and numbers of cancelled starts, that arrived before the response
   // to connect.
--- a/src/jayrill/agent/out_list_refresh.h
+++ b/src/jayrill/agent/out_list_refresh.h
@@ -63,8 +63,8 @@
 
   out_list_refresh(const clock& time, random_source random);
 
-  /// \p confirmed: when the store is last known to have held the list that the
-  /// agent has. Must be called every kPauseTick.
+  /// \p confirmed: the last moment up to which the agent has missed no change.
+  /// Must be called every kPauseTick.
   /// \returns the limit for a read that must begin now, else nothing.
   std::optional<std::chrono::milliseconds> Tick(
       std::optional<steady_time> confirmed);
--- a/src/jayrill/config/known_out_list.h
+++ b/src/jayrill/config/known_out_list.h
@@ -12,7 +12,7 @@
 namespace jayrill {
 
 /// The newest list of the data centres that are out that a process has
-/// received, whoever sent it, and when the store is known to have held it.
+/// received, whoever sent it, and up to when it is known to be current.
 ///
 /// Lists are compared by the revision of the store, not by when they arrive: a
 /// peer that the store rejects goes on sending what it knew last.
@@ -40,8 +40,8 @@
     return list_.data_centres.contains(data_centre);
   }
 
-  /// \returns the last moment at which the store is known to have held these
-  /// data centres; nothing when it never was.
+  /// \returns the last moment up to which this process has missed no change of
+  /// the store; nothing when none is known.
   std::optional<steady_time> confirmed() const { return confirmed_; }
 
  private:
