Ask one entry at a time to confirm the zones that are out

Cause: idle agents reported to all their entries at once, which put off their next status to each of them, as an entry of 0.12 cores asks for one in half a second.

Change: a report goes to one entry, to the next one each time.

--- a/src/jayrill/agent/internal/agent_loop.cc
+++ b/src/jayrill/agent/internal/agent_loop.cc
@@ -88,10 +88,8 @@
     return;
   }
   const auto confirmed = core_.data_centres_out().confirmed();
-  if (out_list_refresh_.ShouldAskEntries(confirmed)) {
-    for (const auto& [address, link] : links_) {
-      link->ScheduleReport();
-    }
+  if (out_list_refresh_.ShouldAskEntry(confirmed)) {
+    AskNextEntry();
   }
   const auto limit = out_list_refresh_.Tick(confirmed);
   if (!limit) {
@@ -112,6 +110,17 @@
   output_.read_out_list(*limit);
 }
 
+void agent_loop::AskNextEntry() {
+  auto next = links_.upper_bound(entry_asked_);
+  if (next == links_.end()) {
+    next = links_.begin();
+  }
+  if (next != links_.end()) {
+    entry_asked_ = next->first;
+    next->second->ScheduleReport();
+  }
+}
+
 void agent_loop::OnOutListRead(const result<out_list>& read) {
   const steady_time began = out_list_refresh_.OnReadEnded(read.has_value());
   if (!read) {
--- a/src/jayrill/agent/internal/agent_loop.h
+++ b/src/jayrill/agent/internal/agent_loop.h
@@ -86,6 +86,10 @@
   void ScheduleLinkUpdate();
   /// Reads the data centres that are out when that is due.
   void RefreshOutList();
+  /// Reports to one entry, so that it confirms the data centres that are out;
+  /// to the next one each time. A report to all of them would delay the next
+  /// status of each.
+  void AskNextEntry();
   /// Makes the core check its waiting starts after kWaitCheckInterval.
   void ScheduleWaitCheck();
   /// \returns the addresses of the entries to connect to: those that
@@ -111,6 +115,7 @@
   agent_core core_;
   out_list_refresh out_list_refresh_;
   log_limit out_list_log_limit_;
+  std::string entry_asked_;  ///< Address of the entry that was asked last.
   entry_link::context link_context_;
   std::map<std::string, std::unique_ptr<entry_link>> links_;
   /// The entries that connected entries have listed last, by address.
--- a/src/jayrill/agent/out_list_refresh.cc
+++ b/src/jayrill/agent/out_list_refresh.cc
@@ -32,14 +32,14 @@
   return is_retry_ ? kRetryLimit : kReadLimit;
 }
 
-bool out_list_refresh::ShouldAskEntries(std::optional<steady_time> confirmed) {
+bool out_list_refresh::ShouldAskEntry(std::optional<steady_time> confirmed) {
   const steady_time now = time_.Now();
   const steady_duration age = now - confirmed.value_or(first_confirmed_);
-  if (age <= kAskEntriesAfter || age > kMaxUnconfirmed ||
-      (entries_asked_ && now - *entries_asked_ < kAskEntriesInterval)) {
+  if (age <= kAskEntryAfter || age > kMaxUnconfirmed ||
+      (entry_asked_ && now - *entry_asked_ < kAskEntryInterval)) {
     return false;
   }
-  entries_asked_ = now;
+  entry_asked_ = now;
   return true;
 }
 
--- a/src/jayrill/agent/out_list_refresh.h
+++ b/src/jayrill/agent/out_list_refresh.h
@@ -38,13 +38,13 @@
 /// Keeps only times; the caller reads. For use on one thread.
 class out_list_refresh {
  public:
-  /// Age of the last confirmation from which on the agent reports to its
-  /// entries ahead of the next heartbeat. Their answers confirm the list again
-  /// on a sound day.
-  static constexpr std::chrono::milliseconds kAskEntriesAfter{1400};
-  /// Time between two such reports: an entry may have asked the store just
+  /// Age of the last confirmation from which on the agent reports to one of its
+  /// entries ahead of the next heartbeat. The answer confirms the list again on
+  /// a sound day.
+  static constexpr std::chrono::milliseconds kAskEntryAfter{1400};
+  /// Time between two such reports: the entry may have asked the store just
   /// before the first one.
-  static constexpr std::chrono::milliseconds kAskEntriesInterval{300};
+  static constexpr std::chrono::milliseconds kAskEntryInterval{300};
   /// Age of the last confirmation from which on the agent reads the list.
   static constexpr std::chrono::milliseconds kMaxUnconfirmed{2000};
   /// Time between the start of the agent and the earliest first read: as long
@@ -69,9 +69,9 @@
   std::optional<std::chrono::milliseconds> Tick(
       std::optional<steady_time> confirmed);
 
-  /// \returns true when the agent should report to its entries now, so that
-  /// they confirm the list. Never once the list is read from the store instead.
-  bool ShouldAskEntries(std::optional<steady_time> confirmed);
+  /// \returns true when the agent should report to an entry now, so that it
+  /// confirms the list. Never once the list is read from the store instead.
+  bool ShouldAskEntry(std::optional<steady_time> confirmed);
 
   /// The read that Tick has asked for has ended.
   /// \returns when it began.
@@ -85,8 +85,8 @@
   random_source random_;
   /// Stands for the last confirmation while there was none.
   const steady_time first_confirmed_;
-  std::optional<steady_time> next_read_;      ///< Nothing while none is needed.
-  std::optional<steady_time> entries_asked_;  ///< When that was last so.
+  std::optional<steady_time> next_read_;    ///< Nothing while none is needed.
+  std::optional<steady_time> entry_asked_;  ///< When that was last so.
   bool is_reading_ = false;
   steady_time read_began_;
   bool is_retry_ = false;
