--- a/tests/unit/entry_link_test.cc
+++ b/tests/unit/entry_link_test.cc
@@ -5,7 +5,9 @@
 #include <kj/debug.h>
 #include <kj/timer.h>
 
+#include <chrono>
 #include <string>
+#include <thread>
 
 #include "agent_core_rig.h"
 #include "jayrill/base/random_source.h"
@@ -121,6 +123,23 @@
   io.provider->getTimer().afterDelay(1 * kj::MILLISECONDS).wait(io.waitScope);
 }
 
+// Guards against an unknown host name whose lookup ends just when the link is
+// closed: the thread of the lookup then leaves its failure to the agent's.
+TEST(entry_link_test, ClosesWhenALookupHasJustFailed) {
+  kj::AsyncIoContext io = kj::setupAsyncIo();
+  core_rig rig;
+  const agent_settings settings = Settings();
+  random_source random(1);
+  entry_link::context shared{settings, rig.time, incarnation{2}, *io.provider,
+                             random,   rig.core, [] {}};
+  entry_link link("256.0.0.1:1", shared);
+  link.Start();
+  kj::Promise<void> never = kj::NEVER_DONE;
+  never.poll(io.waitScope);  // Begins the lookup.
+  // Meanwhile the event loop hears nothing of its end.
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+}
+
 INSTANTIATE_TEST_SUITE_P(all,
                          odd_address_test,
                          testing::Values("",
