Keep questions of idle agents out of the status interval

Cause, guessed in and now traced: a report by which an idle agent asks an entry to confirm the data centres that are out counted as a status report, and an entry with a small share of a core asks for at most one of these in up to 1 s. A task that started after a question was unknown to that entry for as long.

--- a/src/jayrill/agent/entry_link.h
+++ b/src/jayrill/agent/entry_link.h
@@ -63,6 +63,10 @@
   /// results of the turn share it.
   void ScheduleReport();
 
+  /// Sends a report whose answer confirms the data centres that are out. It
+  /// does not put off the next status or heartbeat.
+  void AskForOutList();
+
   /// Reports a changed status, at once or when \p interval (longer if the entry
   /// has asked for it) has passed since the last report.
   void OnStatusChanged(std::chrono::milliseconds interval);
@@ -157,6 +161,7 @@
   bool dropping_ = false;
   bool is_alias_ = false;  // The agent already has a link to this entry.
   bool report_scheduled_ = false;
+  bool report_is_question_ = false;  // That of AskForOutList.
   bool status_timer_set_ = false;
   bool retiring_ = false;
   bool retirement_acknowledged_ = false;  // By the answer to a report.
--- a/src/jayrill/agent/entry_link_reports.cc
+++ b/src/jayrill/agent/entry_link_reports.cc
@@ -32,6 +32,14 @@
   }));
 }
 
+void entry_link::AskForOutList() {
+  if (report_scheduled_) {
+    return;  // Its answer confirms them as well.
+  }
+  ScheduleReport();
+  report_is_question_ = report_scheduled_;
+}
+
 void entry_link::OnStatusChanged(std::chrono::milliseconds interval) {
   schedule_.SetStatusInterval(interval);
   // A timer that is set reads the current status when it fires.
@@ -73,6 +81,7 @@
 }
 
 void entry_link::SendReport() {
+  const bool is_question = std::exchange(report_is_question_, false);
   if (!handshake_done_ || dropping_ ||
       reports_in_flight_ >= kMaxReportsInFlight) {
     return;  // The next acknowledgement or connection sends the results.
@@ -101,7 +110,11 @@
     entry_out_list_ = context_.core.data_centres_out().list();
     Encode({entry_out_list_, std::nullopt}, report.initOutList());
   }
-  schedule_.OnReport(now, status);
+  if (is_question) {
+    schedule_.OnQuestion(status);
+  } else {
+    schedule_.OnReport(now, status);
+  }
   ++reports_in_flight_;
   ++context_.core.counters().reports;
   connection_->tasks.add(request.send().then(
--- a/src/jayrill/agent/internal/agent_loop.cc
+++ b/src/jayrill/agent/internal/agent_loop.cc
@@ -117,7 +117,7 @@
   }
   if (next != links_.end()) {
     entry_asked_ = next->first;
-    next->second->ScheduleReport();
+    next->second->AskForOutList();
   }
 }
 
--- a/src/jayrill/agent/internal/agent_loop.h
+++ b/src/jayrill/agent/internal/agent_loop.h
@@ -86,9 +86,8 @@
   void ScheduleLinkUpdate();
   /// Reads the data centres that are out when that is due.
   void RefreshOutList();
-  /// Reports to one entry, so that it confirms the data centres that are out;
-  /// to the next one each time. A report to all of them would delay the next
-  /// status of each.
+  /// Asks one entry to confirm the data centres that are out, the next one
+  /// each time.
   void AskNextEntry();
   /// Makes the core check its waiting starts after kWaitCheckInterval.
   void ScheduleWaitCheck();
--- a/src/jayrill/agent/report_schedule.cc
+++ b/src/jayrill/agent/report_schedule.cc
@@ -52,6 +52,10 @@
   last_sent_status_ = WithoutEstimate(sent);
 }
 
+void report_schedule::OnQuestion(const minion_status& sent) {
+  last_sent_status_ = WithoutEstimate(sent);
+}
+
 std::optional<steady_time> report_schedule::StatusDue(
     const minion_status& current) const {
   if (WithoutEstimate(current) == last_sent_status_) {
--- a/src/jayrill/agent/report_schedule.h
+++ b/src/jayrill/agent/report_schedule.h
@@ -58,6 +58,10 @@
   /// A report with the status \p sent was sent.
   void OnReport(steady_time now, const minion_status& sent);
 
+  /// A report with the status \p sent was sent ahead of time, for the sake of
+  /// its answer. Later reports are due as if it had not been.
+  void OnQuestion(const minion_status& sent);
+
   /// \returns when a report without results is due, which may be in the past,
   /// or nothing when \p current equals the status that was sent last apart from
   /// time_until_free. It is due when the lower bound has passed since the last
--- a/tests/integration/fake_entry.cc
+++ b/tests/integration/fake_entry.cc
@@ -13,6 +13,15 @@
 
 namespace jayrill {
 
+namespace {
+
+// The number of milliseconds as it is sent.
+std::uint32_t Count(std::chrono::milliseconds interval) {
+  return static_cast<std::uint32_t>(interval.count());
+}
+
+}  // namespace
+
 struct fake_entry::peer {
   kj::Own<kj::AsyncIoStream> stream;
   kj::Maybe<wire::AgentPort::Client> agent;
@@ -47,6 +56,8 @@
   config_copy config;
   bool resumed = false;
   session_number session;
+  std::chrono::milliseconds heartbeat{1000};
+  std::chrono::milliseconds status_interval{};
   bool hold_acknowledgements = false;
   kj::Own<kj::PromiseFulfiller<void>> end_fulfiller;
   kj::Own<kj::TaskSet> connections;
@@ -80,6 +91,8 @@
     if (state_.hold_acknowledgements) {
       return kj::NEVER_DONE;
     }
+    context.getResults().setHeartbeatMs(Count(state_.heartbeat));
+    context.getResults().setStatusMs(Count(state_.status_interval));
     return kj::READY_NOW;
   }
   kj::Promise<void> goodbye(GoodbyeContext) override {
@@ -121,7 +134,8 @@
     auto welcome = results.initWelcome();
     welcome.initConfig().setRevision(state_.config.revision.value);
     welcome.getConfig().setPacked(ToData(state_.config.packed));
-    welcome.setHeartbeatMs(1000);
+    welcome.setHeartbeatMs(Count(state_.heartbeat));
+    welcome.setStatusMs(Count(state_.status_interval));
     welcome.setResumed(state_.resumed);
     welcome.setSession(state_.session.value);
     results.setSession(kj::heap<session>(state_));
@@ -250,6 +264,14 @@
   });
 }
 
+void fake_entry::SetIntervals(std::chrono::milliseconds heartbeat,
+                              std::chrono::milliseconds status) {
+  Post([heartbeat, status](state& own) {
+    own.heartbeat = heartbeat;
+    own.status_interval = status;
+  });
+}
+
 void fake_entry::HoldAcknowledgements(bool hold_acknowledgements) {
   Post([hold_acknowledgements](state& own) {
     own.hold_acknowledgements = hold_acknowledgements;
--- a/tests/integration/fake_entry.h
+++ b/tests/integration/fake_entry.h
@@ -4,6 +4,7 @@
 #include <kj/async-io.h>
 #include <kj/async-unix.h>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -60,6 +61,9 @@
   void SetWelcome(const config_copy& config,
                   bool resumed,
                   session_number number = {});
+  /// Sets the intervals that later welcomes and answers to reports ask for.
+  void SetIntervals(std::chrono::milliseconds heartbeat,
+                    std::chrono::milliseconds status);
   /// While set, reports are recorded but not acknowledged.
   void HoldAcknowledgements(bool hold_acknowledgements);
   /// Closes all connections. Agents can dial again.
--- a/tests/integration/rejected_entry_test.cc
+++ b/tests/integration/rejected_entry_test.cc
@@ -1,16 +1,7 @@
-#include <QFile>
-#include <QJsonDocument>
-#include <QJsonObject>
-#include <QTemporaryDir>
-#include <memory>
-#include <optional>
 #include <ostream>
 #include <set>
-#include <string>
 
-#include "agent_fixture.h"
-#include "platform/roles.h"
-#include "platform_store_standin.h"
+#include "agent_store_fixture.h"
 
 namespace jayrill {
 namespace {
@@ -29,39 +20,9 @@
   *out << param.name;
 }
 
-/// An agent of the data centre east that reads its store, and an entry that
-/// knows the configuration and nothing of evacuations.
-class rejected_entry_test : public agent_fixture,
+class rejected_entry_test : public agent_store_fixture,
                             public testing::WithParamInterface<rejection_case> {
  protected:
-  void LaunchWithStore() {
-    const QJsonObject store{
-        {QStringLiteral("address"), QString::fromStdString(store_.address())}};
-    const QString path = folder_.filePath(QStringLiteral("local.json"));
-    QFile file(path);
-    ASSERT_TRUE(file.open(QIODevice::WriteOnly));
-    file.write(QJsonDocument(QJsonObject{{QStringLiteral("platform"), store}})
-                   .toJson());
-    file.close();
-    entry.SetWelcome(Config(1), false);
-    agent_settings settings;
-    settings.id = "a1";
-    settings.data_centre = "east";
-    settings.entries = {entry.address()};
-    adapter_.emplace(path.toStdString(), time);
-    agent_overrides overrides = adapter_->MakeOverrides(lease_settings());
-    overrides.minion = nullptr;  // The sample backend is no minion with leases.
-    agent = std::make_unique<agent_process>(settings, time, overrides);
-    ASSERT_TRUE(agent->Start());
-    sample_settings minion_settings;
-    minion_settings.slots = 2;
-    minion_settings.agent_address =
-        "127.0.0.1:" + std::to_string(agent->http_port());
-    minion = std::make_unique<sample_backend>(minion_settings, time);
-    ASSERT_TRUE(minion->Start());
-    ASSERT_TRUE(WaitFor([&] { return entry.Record().status.slots == 2; }));
-  }
-
   /// Sends starts until one ends with \p outcome.
   bool WaitForOutcome(task_outcome outcome) {
     return WaitFor([&] {
@@ -76,9 +37,6 @@
     return list.revision.value != 0 && list.data_centres == out;
   }
 
-  QTemporaryDir folder_;
-  platform::platform_store_standin store_;
-  std::optional<platform::agent_adapter> adapter_;
   std::uint64_t number_ = 0;
   task_result last_;
 };
@@ -89,24 +47,24 @@
 // entry that is not told of them.
 TEST_P(rejected_entry_test, TheAgentLearnsOfAnEvacuationAndOfItsEnd) {
   if (GetParam().is_out_at_start) {
-    store_.Put(kEvacuation, "{}");
+    store.Put(kEvacuation, "{}");
   }
-  store_.SetDown(GetParam().is_store_down_first);
+  store.SetDown(GetParam().is_store_down_first);
   LaunchWithStore();
   if (!GetParam().is_out_at_start) {
     ASSERT_TRUE(WaitForOutcome(task_outcome::kSucceeded));
-    store_.Put(kEvacuation, "{}");
+    store.Put(kEvacuation, "{}");
   }
   if (GetParam().is_store_down_first) {
     // Nobody can learn of a change, and tasks go on.
-    ASSERT_TRUE(WaitFor([&] { return store_.refused() > 1; }));
+    ASSERT_TRUE(WaitFor([&] { return store.refused() > 1; }));
     ASSERT_TRUE(WaitForOutcome(task_outcome::kSucceeded));
-    store_.SetDown(false);
+    store.SetDown(false);
   }
   ASSERT_TRUE(WaitForOutcome(task_outcome::kNotRun));
   EXPECT_EQ(last_.reason, not_run_reason::kDataCentreOut);
   EXPECT_TRUE(WaitFor([&] { return HasToldEntry({"east"}); }));
-  store_.Delete(kEvacuation);
+  store.Delete(kEvacuation);
   EXPECT_TRUE(WaitForOutcome(task_outcome::kSucceeded));
   EXPECT_TRUE(WaitFor([&] { return HasToldEntry({}); }));
 }
--- a/tests/unit/report_schedule_test.cc
+++ b/tests/unit/report_schedule_test.cc
@@ -70,6 +70,20 @@
   EXPECT_EQ(schedule.StatusDue(status), start + milliseconds(20));
 }
 
+// Guards against an agent that reports a change of its load late, or misses a
+// heartbeat, because it has sent a report for the sake of its answer before.
+TEST(report_schedule_test, AQuestionPutsOffNothing) {
+  const steady_time start{std::chrono::hours(1)};
+  report_schedule schedule(milliseconds(20));
+  schedule.Open(start, milliseconds(1000), {});
+  minion_status status;
+  status.busy = 1;
+  schedule.OnQuestion(status);
+  EXPECT_FALSE(schedule.StatusDue(status));
+  EXPECT_EQ(schedule.StatusDue({}), start + milliseconds(20));
+  EXPECT_TRUE(schedule.IsHeartbeatDue(start + milliseconds(1000)));
+}
+
 struct interval_case {
   std::size_t sessions;
   double cores;
