Let the test of a failed lookup stop the event loop in time

Cause: ClosesWhenALookupHasJustFailed polled the event loop to begin the lookup. Links in this file were made by the same five lines three times.

Change: the loop is stopped by an event that runs after all that are ready and before the loop looks for input. link_rig holds what a link shares.

--- a/tests/unit/entry_link_test.cc
+++ b/tests/unit/entry_link_test.cc
@@ -79,6 +79,18 @@
 
 #pragma GCC diagnostic pop
 
+/// What a link shares with the others of its agent.
+struct link_rig {
+  explicit link_rig(kj::AsyncIoProvider& io)
+      : shared{settings, agent.time, incarnation{2}, io,
+               random,   agent.core, [] {}} {}
+
+  core_rig agent;
+  const agent_settings settings = Settings();
+  random_source random{1};
+  entry_link::context shared;
+};
+
 // Guards against an agent that waits for the kernel to repeat the SYN to an
 // entry that had no power when the agent dialled. The kernel repeats it after
 // 1 s and then 2 s, and until then an entry that has returned has no agents.
@@ -86,12 +98,8 @@
   kj::EventLoop loop;
   kj::WaitScope scope(loop);
   silent_provider io;
-  core_rig rig;
-  const agent_settings settings = Settings();
-  random_source random(1);
-  entry_link::context shared{settings, rig.time, incarnation{2}, io,
-                             random,   rig.core, [] {}};
-  entry_link link("10.0.0.1:1", shared);
+  link_rig rig(io);
+  entry_link link("10.0.0.1:1", rig.shared);
   link.Start();
   kj::Promise<void> never = kj::NEVER_DONE;
   for (int step = 0; step < 50; ++step) {
@@ -107,13 +115,9 @@
 // is dialled without pause, or that keeps a link from being closed.
 TEST_P(odd_address_test, IsDialledInVain) {
   kj::AsyncIoContext io = kj::setupAsyncIo();
-  core_rig rig;
-  const agent_settings settings = Settings();
-  random_source random(1);
-  entry_link::context shared{settings, rig.time, incarnation{2}, *io.provider,
-                             random,   rig.core, [] {}};
+  link_rig rig(*io.provider);
   {
-    entry_link link(GetParam(), shared);
+    entry_link link(GetParam(), rig.shared);
     link.Start();
     io.provider->getTimer()
         .afterDelay(250 * kj::MILLISECONDS)
@@ -127,17 +131,13 @@
 // closed: the thread of the lookup then leaves its failure to the agent's.
 TEST(entry_link_test, ClosesWhenALookupHasJustFailed) {
   kj::AsyncIoContext io = kj::setupAsyncIo();
-  core_rig rig;
-  const agent_settings settings = Settings();
-  random_source random(1);
-  entry_link::context shared{settings, rig.time, incarnation{2}, *io.provider,
-                             random,   rig.core, [] {}};
-  entry_link link("256.0.0.1:1", shared);
+  link_rig rig(*io.provider);
+  entry_link link("256.0.0.1:1", rig.shared);
   link.Start();
-  kj::Promise<void> never = kj::NEVER_DONE;
-  never.poll(io.waitScope);  // Begins the lookup.
-  // Meanwhile the event loop hears nothing of its end.
-  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  // The lookup begins, and fails before the event loop looks for its end.
+  kj::evalLast([] {
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  }).wait(io.waitScope);
 }
 
 INSTANTIATE_TEST_SUITE_P(all,
